--- a/src/bridge/bridge_process.cpp
+++ b/src/bridge/bridge_process.cpp
@@ -4,7 +4,7 @@
 #include "config/config_section.h"
 #include "log/log_func.h"
 #include "net/peer_codec.h"
-#include "platform/store_api.h"
+#include "store/store_api.h"
 
 namespace cove {
 
--- a/src/bridge/bridge_process.h
+++ b/src/bridge/bridge_process.h
@@ -6,7 +6,7 @@
 #include "membership/host_list_type.h"
 #include "net/peer_transport.h"
 #include "node/peer_message.h"
-#include "platform/object_follower.h"
+#include "store/object_follower.h"
 
 #include <deque>
 
@@ -49,7 +49,7 @@
     config_manifest manifest_;       ///< newest that the platform showed
     std::uint64_t host_list_version_ = 0;
     std::string host_list_text_;
-    store_client sections_client_;
+    object_client sections_client_;
     object_follower manifest_follower_;
     object_follower host_list_follower_;
     peer_transport transport_; ///< its thread calls the followers, so it ends before them
--- a/src/ctl/status_cmd.cpp
+++ b/src/ctl/status_cmd.cpp
@@ -6,7 +6,7 @@
 #include "ctl/submit.h"
 #include "net/caller_api.h"
 #include "net/http_server.h"
-#include "platform/store_api.h"
+#include "store/store_api.h"
 #include "settings/settings_table.h"
 
 #include <algorithm>
@@ -22,7 +22,7 @@
 constexpr milliseconds status_timeout{1000};       ///< of asking one entry host
 constexpr std::uint64_t searched_generations = 50; ///< how far back a submit id is looked for
 
-result<host_list> read_hosts(ctl_options const& options, store_client& store)
+result<host_list> read_hosts(ctl_options const& options, object_client& store)
 {
     if (!options.hosts.empty()) {
         auto const text = read_file(options.hosts);
@@ -54,7 +54,7 @@
 }
 
 /** Looks for a submit among the newest generations. */
-ctl_report find_submit(store_client& store, std::string const& submit_id)
+ctl_report find_submit(object_client& store, std::string const& submit_id)
 {
     auto const current = read_current(store);
     if (!current) {
@@ -150,7 +150,7 @@
 
 ctl_report run_status(ctl_options const& options)
 {
-    store_client store(options.store.empty() ? "127.0.0.1:1" : options.store,
+    object_client store(options.store.empty() ? "127.0.0.1:1" : options.store,
                        seconds(options.timeout_s));
     if (!options.submit_id.empty()) {
         return find_submit(store, options.submit_id);
@@ -185,7 +185,7 @@
         return report_error(ctl_usage, {"option.check", "--generation", "missing"});
     }
     generation const wanted{static_cast<std::uint64_t>(options.number)};
-    store_client store(options.store.empty() ? "127.0.0.1:1" : options.store,
+    object_client store(options.store.empty() ? "127.0.0.1:1" : options.store,
                        seconds(options.timeout_s));
     auto const hosts = read_hosts(options, store);
     if (!hosts) {
@@ -226,7 +226,7 @@
     }
     std::vector<std::string> lines;
     explain_hosts(*answer, lines);
-    store_client store(options.store, seconds(options.timeout_s));
+    object_client store(options.store, seconds(options.timeout_s));
     auto const current = read_current(store);
     auto const config = current ? read_configuration(store, current->manifest)
                                 : result<deployment>(tl::make_unexpected(current.error().where));
--- a/src/ctl/submit.cpp
+++ b/src/ctl/submit.cpp
@@ -1,7 +1,7 @@
 #include "ctl/submit.h"
 
 #include "config/config_section.h"
-#include "platform/store_api.h"
+#include "store/store_api.h"
 
 #include <algorithm>
 
@@ -38,7 +38,7 @@
     return "not_known";
 }
 
-store_result<current_manifest> read_current(store_client& store)
+store_result<current_manifest> read_current(object_client& store)
 {
     auto const object = store.read(store_api::manifest_object);
     if (!object) {
@@ -54,7 +54,7 @@
     return current_manifest{std::move(*manifest), object->version};
 }
 
-store_result<config_manifest> read_generation(store_client& store, generation number)
+store_result<config_manifest> read_generation(object_client& store, generation number)
 {
     auto const current = read_current(store);
     if (!current || current->manifest.number == number) {
@@ -72,7 +72,7 @@
     return std::move(*manifest);
 }
 
-result<deployment> read_configuration(store_client& store, config_manifest const& manifest)
+result<deployment> read_configuration(object_client& store, config_manifest const& manifest)
 {
     if (manifest.number.value == 0) {
         return deployment{};
@@ -88,7 +88,7 @@
     return join_sections(sections, "generation " + std::to_string(manifest.number.value));
 }
 
-submitter::submitter(store_client& store, int attempts, std::function<void()> pause)
+submitter::submitter(object_client& store, int attempts, std::function<void()> pause)
     : store_(store), attempts_(attempts), pause_(std::move(pause))
 {
 }
--- a/src/ctl/submit.h
+++ b/src/ctl/submit.h
@@ -3,7 +3,7 @@
 
 #include "config/config_section_type.h"
 #include "config/deployment_type.h"
-#include "platform/store_client.h"
+#include "store/object_client.h"
 
 #include <functional>
 
@@ -43,13 +43,13 @@
 };
 
 /** @return the newest manifest. @param store where it lasts. */
-store_result<current_manifest> read_current(store_client& store);
+store_result<current_manifest> read_current(object_client& store);
 
 /** @return the manifest of generation @p number, the newest one or an earlier one. */
-store_result<config_manifest> read_generation(store_client& store, generation number);
+store_result<config_manifest> read_generation(object_client& store, generation number);
 
 /** @return the configuration that @p manifest names. @param store where its sections last. */
-result<deployment> read_configuration(store_client& store, config_manifest const& manifest);
+result<deployment> read_configuration(object_client& store, config_manifest const& manifest);
 
 /** Submits configurations to one store. */
 class submitter {
@@ -59,7 +59,7 @@
      * @param attempts how often a call whose effect is not known is followed up.
      * @param pause called between attempts.
      */
-    submitter(store_client& store, int attempts, std::function<void()> pause);
+    submitter(object_client& store, int attempts, std::function<void()> pause);
 
     /** Makes @p request the next generation, unless another one came first. */
     submit_report submit(submit_request const& request);
@@ -72,7 +72,7 @@
     std::optional<submit_report> read_back(config_manifest const& next);
     submit_report conflict(generation seen, config_manifest const& current);
 
-    store_client& store_;
+    object_client& store_;
     int attempts_;
     std::function<void()> pause_;
 };
--- a/src/ctl/submit_cmd.cpp
+++ b/src/ctl/submit_cmd.cpp
@@ -68,7 +68,7 @@
     return make_report(exit_code_of(report.verdict), std::move(lines), std::move(values));
 }
 
-ctl_report submit_to(store_client& store, submit_request const& request,
+ctl_report submit_to(object_client& store, submit_request const& request,
                      std::string const& store_address)
 {
     submitter sender(store, submit_attempts, [] { std::this_thread::sleep_for(submit_pause); });
@@ -139,7 +139,7 @@
     if (!config) {
         return report_error(ctl_failed, config.error());
     }
-    store_client store(options.store, seconds(options.timeout_s));
+    object_client store(options.store, seconds(options.timeout_s));
     auto const current = read_current(store);
     if (!current) {
         return report_error(ctl_failed, current.error().where);
@@ -165,7 +165,7 @@
     if (!config) {
         return report_error(ctl_failed, config.error());
     }
-    store_client store(options.store, seconds(options.timeout_s));
+    object_client store(options.store, seconds(options.timeout_s));
     submit_request const request{std::move(*config),
                                  generation{static_cast<std::uint64_t>(options.number)},
                                  submit_id_of(options)};
@@ -174,7 +174,7 @@
 
 ctl_report run_drain(ctl_options const& options)
 {
-    store_client store(options.store, seconds(options.timeout_s));
+    object_client store(options.store, seconds(options.timeout_s));
     auto const current = read_current(store);
     if (!current) {
         return report_error(ctl_failed, current.error().where);
--- /dev/null
+++ b/src/follow/follower.cpp
@@ -0,0 +1,98 @@
+#include "follow/follower.h"
+
+#include <algorithm>
+
+namespace cove {
+
+namespace {
+
+/// Changes come in series; each watch brings all that came meanwhile, and each call is paid for.
+constexpr milliseconds gather_time{150};
+constexpr milliseconds first_wait{200}; ///< after a failure
+constexpr milliseconds longest_wait{1000}; ///< the promises bind again seconds after an outage
+
+} // namespace
+
+follower::follower(loop_timers& timers, follow_calls calls, std::uint64_t seed)
+    : timers_(timers), calls_(std::move(calls)), random_(seed)
+{
+}
+
+follower::~follower()
+{
+    timers_.cancel(next_);
+}
+
+void follower::start()
+{
+    ask();
+}
+
+void follower::restart()
+{
+    timers_.cancel(next_);
+    if (asking_) {
+        calls_.abort();
+    }
+    listed_ = false;
+    ask();
+}
+
+void follower::ask()
+{
+    asking_ = true;
+    auto const done = [this](follow_answer const& answer) {
+        asking_ = false;
+        on_answer(answer);
+    };
+    if (listed_) {
+        calls_.watch(at_, done);
+    }
+    else {
+        calls_.list(done);
+    }
+}
+
+void follower::on_answer(follow_answer const& answer)
+{
+    switch (answer.end) {
+    case follow_end::done:
+        failures_ = 0;
+        set_reachable(true, "");
+        at_ = std::max(at_, answer.at);
+        if (!listed_) {
+            listed_ = true;
+            ask();
+        }
+        else {
+            ask_after(gather_time);
+        }
+        break;
+    case follow_end::history_gone:
+        listed_ = false;
+        ask();
+        break;
+    case follow_end::failed:
+        set_reachable(false, answer.detail);
+        ++failures_;
+        auto const wait = std::min(longest_wait, first_wait * failures_);
+        auto const half = static_cast<std::uint64_t>(wait.count() / 2);
+        ask_after(wait / 2 + milliseconds(random_below(random_, half + 1)));
+        break;
+    }
+}
+
+void follower::ask_after(milliseconds wait)
+{
+    next_ = timers_.once(read_clocks().mono + wait, [this] { ask(); });
+}
+
+void follower::set_reachable(bool up, std::string const& detail)
+{
+    if (up != up_) {
+        up_ = up;
+        calls_.reachable(up, detail);
+    }
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/host/entry_host.cpp
@@ -0,0 +1,560 @@
+#include "host/entry_host.h"
+
+#include "core/hash_func.h"
+#include "log/log_func.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace cove {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned http_version = 11;
+constexpr milliseconds answer_lifetime{2000}; ///< clients of a stopped host move on that soon
+constexpr std::size_t most_addresses = 64;    ///< that a look-up answer may hold
+constexpr milliseconds register_wait{500};    ///< between tries while the store fails
+constexpr milliseconds steer_interval{500};   ///< shares move in steps too small to notice
+constexpr milliseconds behind_patience{600};  ///< own watches mostly bring it within that time
+constexpr milliseconds pull_interval{1000};   ///< an answer to a pull comes sooner or is lost
+constexpr double stop_share = 0.4;  ///< of the grace: then clients' cached look-ups are over
+constexpr double exit_share = 0.97; ///< of the grace: the last moment for answers still due
+constexpr milliseconds exit_check{20};
+constexpr double spare_load = 0.8;  ///< of the slots: what a zone gives away ends there
+constexpr double granted_share = 0.5; ///< of the spare slots: reports are a second old
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+host_report self_report(host_settings const& settings)
+{
+    host_report self;
+    self.name = node_id(settings.name);
+    self.zone = zone_id(settings.zone);
+    self.ip = settings.ip;
+    self.client_address = settings.client_address;
+    // Later lives of a name must rank higher; clocks that step back are met by the fleet's
+    // patience: a report with a lower life counts again once the old one is forgotten.
+    self.life = host_life(
+        static_cast<std::uint64_t>(read_clocks().wall.time_since_epoch().count()));
+    return self;
+}
+
+traffic_settings traffic_of(host_settings const& settings)
+{
+    return {zone_id(settings.zone),
+            settings.regions,
+            {settings.repeat_ratio, settings.repeat_window, settings.repeat_slack},
+            settings.cold_overage};
+}
+
+std::string text_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+milliseconds part_of(milliseconds whole, double share)
+{
+    return milliseconds(static_cast<std::int64_t>(share * static_cast<double>(whole.count())));
+}
+
+} // namespace
+
+entry_host::entry_host(boost::asio::io_context& loop, loop_timers& timers, host_settings settings,
+                       host_wire wire, settings_source reread,
+                       std::function<store_port(store_hooks)> const& connect_store)
+    : loop_(loop), timers_(timers), settings_(std::move(settings)), wire_(std::move(wire)),
+      reread_(std::move(reread)), carrier_(loop, timers, wire_.names, traffic_of(settings_), log_),
+      clients_(loop, timers,
+               {[this](call_id call, http_request request) {
+                    carrier_.on_request(call, std::move(request));
+                },
+                [this](call_id call) { carrier_.on_client_left(call); }}),
+      readiness_(loop, timers,
+                 {[this](call_id call, http_request const& request) {
+                      answer_readiness(call, request);
+                  },
+                  [](call_id) {}}),
+      directory_(loop, timers,
+                 {[this](call_id call, http_request const& request) {
+                      answer_lookup(call, request);
+                  },
+                  [](call_id) {}}),
+      view_(self_report(settings_), random_seed()),
+      transport_(loop, settings_.peer_port, [this](std::string const& bytes) { on_message(bytes); }),
+      store_(connect_store(hooks())), config_follower_(timers, store_.config, random_seed()),
+      target_follower_(timers, store_.targets, random_seed()),
+      evacuation_follower_(timers, store_.evacuations, random_seed()),
+      signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
+      shares_(settings_.regions, settings_.shift_cap)
+{
+    carrier_.attach(clients_);
+}
+
+store_hooks entry_host::hooks()
+{
+    store_hooks out;
+    out.config = [this](config_document document) { on_config(std::move(document)); };
+    out.targets_listed = [this](std::vector<target_entry> const& entries, revision at) {
+        targets_known_ = true;
+        on_targets(targets_.replace(entries, at, read_clocks().mono));
+    };
+    out.targets_changed = [this](std::vector<target_change> const& changes, revision at) {
+        if (at < targets_.at()) {
+            return; // a peer's newer list is in force
+        }
+        for (target_change const& change : changes) {
+            if (change.entry) {
+                targets_.put(*change.entry);
+            }
+            else {
+                targets_.remove(change.id, read_clocks().mono);
+            }
+        }
+        targets_.advance(at);
+        on_targets(true);
+    };
+    out.evacuations_listed = [this](std::set<zone_id> const& zones, revision at) {
+        if (at >= evacuations_at_) {
+            evacuated_ = zones;
+            evacuations_at_ = at;
+            on_evacuations();
+        }
+    };
+    out.evacuations_changed = [this](std::vector<std::pair<zone_id, bool>> const& changes,
+                                     revision at) {
+        if (at < evacuations_at_) {
+            return;
+        }
+        for (auto const& [zone, begun] : changes) {
+            begun ? (void)evacuated_.insert(zone) : (void)evacuated_.erase(zone);
+        }
+        evacuations_at_ = at;
+        on_evacuations();
+    };
+    out.hosts_listed = [this](std::vector<host_record> const& hosts) {
+        for (host_record const& host : hosts) {
+            view_.add_contact(host.name, host.zone, host.ip);
+        }
+    };
+    out.malformed = [this](std::string const& place, std::string const& reason) {
+        log_.event("malformed_object", {{"place", place}, {"reason", reason}}, read_clocks().mono);
+    };
+    return out;
+}
+
+result<void> entry_host::start()
+{
+    for (std::string const& seed : settings_.seeds) {
+        if (auto const where = parse_address(seed)) {
+            view_.add_seed(where->ip);
+        }
+    }
+    auto started = transport_.start(settings_.ip);
+    if (started) {
+        started = readiness_.start(settings_.readiness_address);
+    }
+    if (started) {
+        started = directory_.start(settings_.directory_address);
+    }
+    if (started) {
+        started = clients_.start(settings_.client_address);
+    }
+    if (!started) {
+        return started;
+    }
+    log_event("started", {{"zone", settings_.zone}, {"clients", settings_.client_address}});
+    watch_signals();
+    start_following();
+    register_self(0);
+    timers_.every(host_view::tick_interval, [this] { tick(); });
+    timers_.every(steer_interval, [this] { steer(read_clocks().mono); });
+    return {};
+}
+
+void entry_host::start_following()
+{
+    config_follower_.start();
+    target_follower_.start();
+    evacuation_follower_.start();
+}
+
+void entry_host::register_self(int failures)
+{
+    host_record const self{node_id(settings_.name), zone_id(settings_.zone), settings_.ip};
+    store_.register_host(self, [this, failures](bool done) {
+        if (done) {
+            list_hosts(0);
+            return;
+        }
+        log_.event("register_failed", {{"failures", std::to_string(failures + 1)}},
+                   read_clocks().mono);
+        timers_.once(read_clocks().mono + register_wait * (failures + 1),
+                     [this, failures] { register_self(failures + 1); });
+    });
+}
+
+void entry_host::list_hosts(int failures)
+{
+    store_.list_hosts([this, failures](bool done) {
+        if (!done) {
+            timers_.once(read_clocks().mono + register_wait * (failures + 1),
+                         [this, failures] { list_hosts(failures + 1); });
+        }
+    });
+}
+
+void entry_host::watch_signals()
+{
+    signals_.async_wait([this](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        }
+        else {
+            leave();
+        }
+        watch_signals();
+    });
+}
+
+void entry_host::reload()
+{
+    auto const fresh = reread_();
+    if (!fresh) {
+        log_event("settings_refused", {{"reason", to_string(fresh.error())}});
+        return;
+    }
+    for (std::string const& seed : fresh->seeds) {
+        if (auto const where = parse_address(seed)) {
+            view_.add_seed(where->ip);
+        }
+    }
+    settings_.seeds = fresh->seeds;
+    settings_.grace = fresh->grace;
+    log_event("settings_taken", {{"seeds", std::to_string(fresh->seeds.size())}});
+}
+
+/** Planned stop: out of look-ups at once, connections end with their next answer, then exit. */
+void entry_host::leave()
+{
+    if (leaving_) {
+        return;
+    }
+    leaving_ = true;
+    mono_time const now = read_clocks().mono;
+    log_event("leaving", {{"open_requests", std::to_string(carrier_.open_requests())}});
+    clients_.close_after_answers();
+    send(view_.announce_leaving(state(), now));
+    timers_.once(now + part_of(settings_.grace, stop_share), [this] { finish_leaving(); });
+    mono_time const latest = now + part_of(settings_.grace, exit_share);
+    timers_.once(latest, [this] { loop_.stop(); });
+}
+
+void entry_host::finish_leaving()
+{
+    clients_.stop_accepting();
+    directory_.stop_accepting();
+    clients_.close_idle();
+    directory_.close_idle();
+    timers_.every(exit_check, [this] {
+        clients_.close_idle();
+        if (clients_.connections() == 0) {
+            log_event("stopped");
+            loop_.stop();
+        }
+    });
+}
+
+void entry_host::on_config(config_document document)
+{
+    if (config_ && document.config.version <= config_->config.version) {
+        return;
+    }
+    config_ = std::move(document);
+    routing_config const& config = config_->config;
+    server_limits limits;
+    limits.header_bytes = static_cast<std::uint32_t>(config.limits.header_bytes);
+    limits.body_bytes = config.limits.body_bytes;
+    limits.header_time = config.limits.header_timeout;
+    limits.idle_time = config.limits.idle_timeout;
+    clients_.set_limits(limits);
+    carrier_.set_config(config);
+    log_.event("config_in_force",
+               {{"version", std::to_string(config.version.value)},
+                {"routes", std::to_string(config.routes.size())}},
+               read_clocks().mono);
+}
+
+void entry_host::on_targets(bool changed)
+{
+    if (changed) {
+        carrier_.set_targets(targets_.entries());
+    }
+}
+
+void entry_host::on_evacuations()
+{
+    carrier_.set_evacuations(evacuated_);
+}
+
+bool entry_host::ready() const
+{
+    return config_ && targets_known_;
+}
+
+own_state entry_host::state() const
+{
+    own_state own;
+    own.leaving = leaving_;
+    own.ready = ready();
+    own.config_version = config_ ? config_->config.version : generation{};
+    own.targets_at = targets_.at();
+    own.evacuations_at = evacuations_at_;
+    for (service_load const& load : carrier_.loads()) {
+        own.loads.push_back({load.service, load.slots, load.busy, load.waiting});
+    }
+    return own;
+}
+
+void entry_host::send(host_effects const& effects)
+{
+    for (send_to_host const& effect : effects) {
+        transport_.send(effect.ip, encode_host_message(effect.message));
+    }
+}
+
+void entry_host::tick()
+{
+    mono_time const now = read_clocks().mono;
+    if (targets_.expire(now)) {
+        on_targets(true);
+    }
+    send(view_.tick(state(), now));
+    report_peers(now);
+    pull_if_behind(view_.alive(now), now);
+}
+
+void entry_host::report_peers(mono_time now)
+{
+    auto const serving = view_.serving(now);
+    carrier_.set_peers({view_.serving_in_zone(now), static_cast<int>(serving.size()),
+                        rooms(serving)});
+}
+
+/**
+ * Divides the spare slots of each other zone among the hosts outside it, so that all together
+ * send no more than the zone gives away.
+ */
+std::vector<remote_room> entry_host::rooms(std::vector<host_report> const& hosts) const
+{
+    std::map<zone_id, host_report const*> first; // the report of the first host of each zone
+    for (host_report const& host : hosts) {
+        auto const [known, fresh] = first.try_emplace(host.zone, &host);
+        if (!fresh && host.name < known->second->name) {
+            known->second = &host;
+        }
+    }
+    std::vector<remote_room> out;
+    for (auto const& [zone, report] : first) {
+        if (zone == zone_id(settings_.zone)) {
+            continue;
+        }
+        for (service_load_report const& load : report->loads) {
+            double const spare = spare_load * load.slots - load.busy - load.waiting;
+            int const units = static_cast<int>(std::max(0.0, granted_share * spare));
+            int outside = 0;
+            int rank = 0;
+            auto const order = [&](node_id const& name) {
+                return stable_hash(name.value, stable_hash(zone.value));
+            };
+            auto const own = order(node_id(settings_.name));
+            for (host_report const& host : hosts) {
+                if (host.zone != zone) {
+                    ++outside;
+                    rank += order(host.name) < own ? 1 : 0;
+                }
+            }
+            outside = std::max(1, outside);
+            int const share = units / outside + (rank < units % outside ? 1 : 0);
+            if (share > 0) {
+                out.push_back({zone, load.service, share});
+            }
+        }
+    }
+    return out;
+}
+
+/** Asks a peer for what it has and this host's own watches have not brought. */
+void entry_host::pull_if_behind(std::vector<host_report> const& alive, mono_time now)
+{
+    own_state const own = state();
+    host_report const* best = nullptr;
+    pull wanted;
+    wanted.sender_ip = settings_.ip;
+    for (host_report const& host : alive) {
+        bool const config = host.config_version > own.config_version;
+        bool const targets = host.targets_at > own.targets_at;
+        bool const evacuations = host.evacuations_at > own.evacuations_at;
+        bool const nearer = best == nullptr || host.zone == zone_id(settings_.zone);
+        if ((config || targets || evacuations) && nearer) {
+            best = &host;
+            wanted.config = config;
+            wanted.targets = targets;
+            wanted.evacuations = evacuations;
+        }
+    }
+    if (best == nullptr) {
+        behind_since_ = mono_time::max();
+        return;
+    }
+    behind_since_ = std::min(behind_since_, now);
+    bool const urgent = !ready();
+    if ((urgent || now - behind_since_ >= behind_patience) && now - pulled_at_ >= pull_interval) {
+        pulled_at_ = now;
+        transport_.send(best->ip, encode_host_message(wanted));
+    }
+}
+
+void entry_host::on_message(std::string const& bytes)
+{
+    auto const message = decode_host_message(bytes, "entry host");
+    if (!message) {
+        log_.event("malformed_message", {{"reason", to_string(message.error())}},
+                   read_clocks().mono);
+        return;
+    }
+    std::visit([this](auto const& body) { on(body); }, *message);
+}
+
+void entry_host::on(gossip const& message)
+{
+    send(view_.receive(message, read_clocks().mono));
+}
+
+void entry_host::on(pull const& message)
+{
+    snapshot answer;
+    if (message.config && config_) {
+        answer.config_text = config_->text;
+    }
+    if (message.targets && targets_known_) {
+        answer.targets = target_snapshot{targets_.entries(), targets_.at()};
+    }
+    if (message.evacuations) {
+        answer.evacuations = evacuation_snapshot{evacuated_, evacuations_at_};
+    }
+    transport_.send(message.sender_ip, encode_host_message(answer));
+}
+
+void entry_host::on(snapshot const& message)
+{
+    if (!message.config_text.empty()) {
+        auto document = store_.read_config(message.config_text);
+        if (document) {
+            on_config(std::move(*document));
+        }
+        else {
+            log_.event("malformed_config", {{"reason", to_string(document.error())}},
+                       read_clocks().mono);
+        }
+    }
+    if (message.targets && message.targets->at > targets_.at()) {
+        targets_known_ = true;
+        on_targets(
+            targets_.replace(message.targets->entries, message.targets->at, read_clocks().mono));
+    }
+    if (message.evacuations && message.evacuations->at > evacuations_at_) {
+        evacuated_ = message.evacuations->zones;
+        evacuations_at_ = message.evacuations->at;
+        on_evacuations();
+    }
+}
+
+void entry_host::steer(mono_time now)
+{
+    std::map<zone_id, steered_zone> zones;
+    for (auto const& [zone, region] : settings_.regions) {
+        zones[zone].zone = zone;
+        zones[zone].region = region;
+    }
+    std::map<zone_id, node_id> reporter;
+    for (host_report const& host : view_.serving(now)) {
+        auto const zone = zones.find(host.zone);
+        if (zone == zones.end()) {
+            continue;
+        }
+        zone->second.usable = true;
+        auto const [known, fresh] = reporter.try_emplace(host.zone, host.name);
+        if (!fresh && known->second < host.name) {
+            continue;
+        }
+        known->second = host.name;
+        zone->second.services.clear();
+        for (service_load_report const& load : host.loads) {
+            zone->second.services[load.service] = {load.slots, load.busy + load.waiting};
+        }
+    }
+    std::vector<steered_zone> list;
+    for (auto const& [name, zone] : zones) {
+        list.push_back(zone);
+    }
+    shares_.move(wanted_shares(list), now);
+}
+
+void entry_host::answer_readiness(call_id call, http_request const& request)
+{
+    bool const known = text_of(request.target()) == wire_.ready_path;
+    auto status = http::status::service_unavailable;
+    if (!known) {
+        status = http::status::not_found;
+    }
+    else if (ready() && !leaving_) {
+        status = http::status::ok;
+    }
+    readiness_.respond(call, http_response(status, http_version));
+}
+
+void entry_host::answer_lookup(call_id call, http_request const& request)
+{
+    auto const lookup = wire_.read_lookup(text_of(request.target()));
+    if (!lookup) {
+        directory_.respond(call, http_response(http::status::not_found, http_version));
+        return;
+    }
+    mono_time const now = read_clocks().mono;
+    lookup_query query{lookup->zone, directory_.client_of(call), {}};
+    if (carrier_.routes() != nullptr) {
+        for (auto const& route : carrier_.routes()->routes_of(lookup->host)) {
+            query.regions.insert(route->home_regions.begin(), route->home_regions.end());
+        }
+    }
+    std::vector<directory_host> hosts;
+    for (host_report const& host : view_.serving(now)) {
+        auto const region = settings_.regions.find(host.zone);
+        hosts.push_back({host.zone,
+                         region == settings_.regions.end() ? region_id() : region->second,
+                         host.client_address});
+    }
+    auto const addresses =
+        choose_hosts(query, shares_.shares_of(lookup->zone), hosts, most_addresses);
+    if (addresses.empty()) {
+        directory_.respond(call, http_response(http::status::service_unavailable, http_version));
+        return;
+    }
+    http_response response(http::status::ok, http_version);
+    response.set(http::field::content_type, "application/json");
+    response.body() =
+        wire_.lookup_body(addresses, std::min(answer_lifetime, settings_.answer_lifetime_max));
+    directory_.respond(call, std::move(response));
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/host/host_settings.h
@@ -0,0 +1,42 @@
+#pragma once
+/** @file Settings of an entry host. */
+
+#include "core/ids_type.h"
+#include "settings/settings_table.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cove {
+
+/** Settings of an entry host; the table in the .cpp file says what each means. */
+struct host_settings {
+    std::string name;
+    std::string zone;
+    std::string region;
+    std::map<zone_id, region_id> regions; ///< of every zone
+    std::string client_address;
+    std::string readiness_address;
+    std::string directory_address;
+    std::string ip;
+    int peer_port = 0;
+    std::vector<std::string> seeds; ///< IP:port; only the IP counts
+    std::string store_address;
+    milliseconds heartbeat{};
+    milliseconds contact{};
+    milliseconds drain{};
+    milliseconds grace{};
+    milliseconds answer_lifetime_max{};
+    double processor_share = 1; ///< cores
+    double repeat_ratio = 0;
+    milliseconds repeat_window{};
+    double repeat_slack = 0;
+    double cold_overage = 1;
+    double shift_cap = 1;
+};
+
+/** @return the table that reads, checks and explains them. */
+settings_table<host_settings> const& host_settings_table();
+
+} // namespace cove
--- /dev/null
+++ b/src/host/request_carrier.cpp
@@ -0,0 +1,333 @@
+#include "host/request_carrier.h"
+
+#include "http/forwarding.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace cove {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned http_version = 11;
+constexpr milliseconds tick_interval{20}; ///< queues and time-outs are that exact
+constexpr milliseconds no_config_wait{500}; ///< a new host has its configuration that soon
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_client_error = 400;
+
+std::string text_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string as_seconds(milliseconds time)
+{
+    constexpr double ms_per_second = 1000;
+    char buffer[32];
+    std::snprintf(buffer, sizeof buffer, "%.3f", static_cast<double>(time.count()) / ms_per_second);
+    return buffer;
+}
+
+std::optional<int> read_int(std::string_view text)
+{
+    int value = 0;
+    auto const [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (code != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+char const* name_of(refusal reason)
+{
+    switch (reason) {
+    case refusal::no_room:
+        return "no_room";
+    case refusal::no_target:
+        return "no_target";
+    case refusal::gave_up:
+        return "gave_up";
+    case refusal::lost_answer:
+        return "lost_answer";
+    }
+    return "unknown";
+}
+
+http::status status_of(refusal reason)
+{
+    switch (reason) {
+    case refusal::gave_up:
+        return http::status::gateway_timeout;
+    case refusal::lost_answer:
+        return http::status::bad_gateway;
+    default:
+        return http::status::service_unavailable;
+    }
+}
+
+} // namespace
+
+request_carrier::request_carrier(boost::asio::io_context& loop, loop_timers& timers,
+                                 carrier_names names, traffic_settings settings, log_limiter& log)
+    : timers_(timers), names_(std::move(names)), log_(log), traffic_(std::move(settings)),
+      pool_(loop, timers)
+{
+    tick_ = timers_.every(tick_interval, [this] {
+        if (traffic_.waits()) {
+            feed(time_passed{});
+        }
+    });
+}
+
+request_carrier::~request_carrier()
+{
+    timers_.cancel(tick_);
+}
+
+void request_carrier::feed(traffic_event const& event)
+{
+    for (traffic_effect const& effect : traffic_.reduce(event, read_clocks().mono)) {
+        std::visit([this](auto const& what) { carry_out(what); }, effect);
+    }
+}
+
+void request_carrier::on_request(call_id call, http_request request)
+{
+    if (!routes_) {
+        answer(call, http::status::service_unavailable, no_config_wait);
+        return;
+    }
+    std::string const target = text_of(request.target());
+    auto const route = routes_->find(text_of(request[http::field::host]), path_of(target));
+    if (!route) {
+        answer(call, http::status::not_found, milliseconds{0});
+        return;
+    }
+    open_request open;
+    open.attempt_id = text_of(request[names_.attempt_id]);
+    open.route = route;
+    open.service = parts_.next(*route);
+    open.arrived = read_clocks().mono;
+    auto const deadline = read_int(text_of(request[names_.deadline]));
+    request_arrived event{request_id(call.value), route, open.service,
+                          object_key(text_of(request[names_.object])),
+                          deadline ? milliseconds(*deadline) : route->timeout};
+    remove_hop_fields(request);
+    request.erase(http::field::expect);
+    request.version(http_version);
+    open.message = std::move(request);
+    open_.emplace(event.id, std::move(open));
+    feed(event);
+}
+
+void request_carrier::on_client_left(call_id call)
+{
+    feed(client_gone{request_id(call.value)});
+    auto const found = open_.find(request_id(call.value));
+    if (found != open_.end() && !found->second.connection) {
+        count(found->second, "client_left");
+        open_.erase(found);
+    }
+}
+
+void request_carrier::carry_out(send_attempt const& effect)
+{
+    auto const found = open_.find(effect.id);
+    if (found == open_.end()) {
+        return;
+    }
+    open_request& open = found->second;
+    http_request message = open.message;
+    message.set(names_.deadline, std::to_string(effect.time_left.count()));
+    message.set(names_.expected_target, effect.target.value);
+    message.prepare_payload();
+    open.connection = pool_.acquire(effect.target, effect.address, effect.may_repeat);
+    bool const fresh = !open.connection->connected();
+    open.connection->exchange(
+        std::move(message),
+        [this, attempt_id = open.attempt_id](http_response const& response) {
+            return match(attempt_id, response);
+        },
+        [this, effect, fresh](exchange_result result) {
+            on_exchange_end(effect.id, effect, fresh, std::move(result));
+        });
+}
+
+response_match request_carrier::match(std::string const& attempt_id,
+                                      http_response const& response) const
+{
+    auto const echoed = response.find(names_.attempt_id);
+    if (echoed != response.end()) {
+        return text_of(echoed->value()) == attempt_id ? response_match::mine
+                                                      : response_match::foreign;
+    }
+    bool const refuses = response.result_int() >= first_client_error;
+    return refuses ? response_match::mine : response_match::foreign;
+}
+
+std::optional<target_load> request_carrier::load_of(http_response const& response) const
+{
+    std::string const text = text_of(response[names_.load]);
+    target_load load;
+    if (std::sscanf(text.c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots) != 3) {
+        return std::nullopt;
+    }
+    return load;
+}
+
+attempt_end request_carrier::classify(exchange_result const& result) const
+{
+    if (result.end == exchange_end::connect_failed) {
+        return attempt_end::not_connected;
+    }
+    if (result.end == exchange_end::broken) {
+        return attempt_end::broken;
+    }
+    http_response const& response = result.response;
+    if (response.result() == http::status::misdirected_request) {
+        return attempt_end::wrong_target;
+    }
+    if (response.count(names_.not_run) > 0) {
+        return attempt_end::refused;
+    }
+    if (response.count(names_.signature) == 0) {
+        return attempt_end::broken; // not of a target's own making
+    }
+    unsigned const status = response.result_int();
+    bool const success = status >= first_success && status < first_redirect;
+    if (!success) {
+        return attempt_end::failed;
+    }
+    return response.count(http::field::content_encoding) > 0 ? attempt_end::broken
+                                                             : attempt_end::succeeded;
+}
+
+void request_carrier::on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
+                                      exchange_result result)
+{
+    auto const found = open_.find(id);
+    if (found == open_.end()) {
+        return;
+    }
+    open_request& open = found->second;
+    auto const connection = std::move(open.connection);
+    open.connection.reset();
+    attempt_ended event{id, attempt.target, classify(result), std::nullopt,
+                        fresh ? connection->connect_time() : microseconds{0}};
+    if (result.end == exchange_end::answered) {
+        event.load = load_of(result.response);
+        pool_.release(attempt.target, connection);
+    }
+    if (event.end != attempt_end::succeeded) {
+        log_.event("attempt_failed",
+                   {{"request", open.attempt_id},
+                    {"target", attempt.target.value},
+                    {"service", attempt.service.value},
+                    {"end", std::to_string(static_cast<int>(event.end))},
+                    {"status", std::to_string(result.response.result_int())},
+                    {"fresh_connection", fresh ? "1" : "0"},
+                    {"detail", result.detail}},
+                   read_clocks().mono);
+    }
+    open.answer = std::move(result.response);
+    feed(event);
+}
+
+void request_carrier::carry_out(cancel_attempt const& effect)
+{
+    auto const found = open_.find(effect.id);
+    if (found != open_.end() && found->second.connection) {
+        found->second.connection->close();
+        found->second.connection.reset();
+    }
+}
+
+void request_carrier::carry_out(deliver_answer const& effect)
+{
+    auto const found = open_.find(effect.id);
+    if (found == open_.end()) {
+        return;
+    }
+    http_response response = std::move(found->second.answer);
+    bool const success = response.result_int() < first_redirect;
+    count(found->second, success ? "served" : "target_failed");
+    open_.erase(found);
+    remove_hop_fields(response);
+    server_->respond(call_id(effect.id.value), std::move(response));
+}
+
+void request_carrier::carry_out(answer_self const& effect)
+{
+    auto const found = open_.find(effect.id);
+    if (found == open_.end()) {
+        return;
+    }
+    log_.event("answered_by_host",
+               {{"request", found->second.attempt_id},
+                {"route", found->second.route->name.value},
+                {"service", found->second.service.value},
+                {"reason", name_of(effect.reason)},
+                {"attempts", std::to_string(effect.attempts)},
+                {"held_ms", std::to_string(effect.held.count())},
+                {"come_back_ms", std::to_string(effect.come_back.count())}},
+               read_clocks().mono);
+    count(found->second, name_of(effect.reason));
+    open_.erase(found);
+    bool const not_run =
+        effect.reason == refusal::no_room || effect.reason == refusal::no_target;
+    answer(call_id(effect.id.value), status_of(effect.reason),
+           not_run ? effect.come_back : milliseconds{0});
+}
+
+void request_carrier::answer(call_id call, http::status status, milliseconds come_back)
+{
+    http_response response(status, http_version);
+    if (come_back > milliseconds{0}) {
+        response.set(http::field::retry_after, as_seconds(come_back));
+    }
+    server_->respond(call, std::move(response));
+}
+
+void request_carrier::count(open_request const& request, std::string const& outcome)
+{
+    metrics_.add(request.service, class_id(request.route->name.value), outcome,
+                 read_clocks().mono - request.arrived);
+}
+
+void request_carrier::set_config(routing_config const& config)
+{
+    routes_ = std::make_unique<route_table>(config);
+    parts_.keep_only(config);
+    feed(services_listed{config.services});
+}
+
+void request_carrier::set_targets(std::vector<target_entry> const& entries)
+{
+    std::set<target_id> ids;
+    for (target_entry const& entry : entries) {
+        ids.insert(entry.id);
+    }
+    pool_.keep_only(ids);
+    feed(targets_listed{entries});
+}
+
+void request_carrier::set_evacuations(std::set<zone_id> const& zones)
+{
+    feed(evacuations_listed{zones});
+}
+
+void request_carrier::set_peers(peers_reported const& peers)
+{
+    feed(peers);
+}
+
+std::vector<service_load> request_carrier::loads() const
+{
+    return traffic_.loads(read_clocks().mono);
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/host/request_carrier.h
@@ -0,0 +1,92 @@
+#pragma once
+/** @file Carries clients' requests to targets as the traffic reducer decides. */
+
+#include "host/target_pool.h"
+#include "http/server.h"
+#include "log/log_limiter.h"
+#include "metrics/latency_metrics.h"
+#include "route/part_choice.h"
+#include "route/route_table.h"
+#include "traffic/traffic.h"
+
+#include <unordered_map>
+
+namespace cove {
+
+/** Names of the header fields that requests and answers carry. */
+struct carrier_names {
+    std::string attempt_id;      ///< one try of a client; targets echo it
+    std::string deadline;        ///< ms that the client, or this host, still waits
+    std::string object;          ///< what the request is about
+    std::string expected_target; ///< any other target does not run the request
+    std::string signature;       ///< only targets set it
+    std::string not_run;         ///< the target did not run the request
+    std::string load;            ///< running,waiting,slots of the target
+};
+
+/** Turns requests and answers into events and carries out the effects. */
+class request_carrier {
+public:
+    request_carrier(boost::asio::io_context& loop, loop_timers& timers, carrier_names names,
+                    traffic_settings settings, log_limiter& log);
+    ~request_carrier();
+    request_carrier(request_carrier const&) = delete;
+    request_carrier& operator=(request_carrier const&) = delete;
+    request_carrier(request_carrier&&) = delete;
+    request_carrier& operator=(request_carrier&&) = delete;
+
+    /** @param server answers go to; must outlive this. */
+    void attach(http_server& server) { server_ = &server; }
+
+    void on_request(call_id call, http_request request);
+    void on_client_left(call_id call);
+
+    void set_config(routing_config const& config);
+    void set_targets(std::vector<target_entry> const& entries);
+    void set_evacuations(std::set<zone_id> const& zones);
+    void set_peers(peers_reported const& peers);
+
+    [[nodiscard]] std::vector<service_load> loads() const;
+    [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    [[nodiscard]] route_table const* routes() const { return routes_.get(); }
+    [[nodiscard]] latency_metrics const& metrics() const { return metrics_; }
+
+private:
+    struct open_request {
+        http_request message;
+        std::string attempt_id;
+        std::shared_ptr<route_config const> route;
+        service_id service;
+        mono_time arrived;
+        http_response answer; ///< of the last attempt
+        target_pool::connection connection;
+    };
+
+    void feed(traffic_event const& event);
+    void carry_out(send_attempt const& effect);
+    void carry_out(cancel_attempt const& effect);
+    void carry_out(deliver_answer const& effect);
+    void carry_out(answer_self const& effect);
+    void on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
+                         exchange_result result);
+    void answer(call_id call, boost::beast::http::status status, milliseconds come_back);
+    void count(open_request const& request, std::string const& outcome);
+    [[nodiscard]] response_match match(std::string const& attempt_id,
+                                       http_response const& response) const;
+    [[nodiscard]] attempt_end classify(exchange_result const& result) const;
+    [[nodiscard]] std::optional<target_load> load_of(http_response const& response) const;
+
+    loop_timers& timers_;
+    carrier_names names_;
+    log_limiter& log_;
+    traffic traffic_;
+    target_pool pool_;
+    part_choice parts_;
+    std::unique_ptr<route_table> routes_;
+    std::unordered_map<request_id, open_request> open_;
+    latency_metrics metrics_;
+    http_server* server_ = nullptr;
+    loop_timers::subscription tick_ = 0;
+};
+
+} // namespace cove
--- /dev/null
+++ b/src/http/exchange.cpp
@@ -0,0 +1,159 @@
+#include "http/exchange.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cove {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int first_final_status = 200; ///< 1xx responses precede the final one
+
+} // namespace
+
+exchange_connection::exchange_connection(boost::asio::io_context& loop, http_endpoint peer,
+                                         exchange_limits limits)
+    : socket_(loop), peer_(std::move(peer)), limits_(limits)
+{
+}
+
+void exchange_connection::exchange(http_request request, match_hook match, handler done)
+{
+    request_ = std::move(request);
+    match_ = std::move(match);
+    done_ = std::move(done);
+    sent_ = false;
+    reusable_ = false;
+    if (connected_) {
+        send();
+        return;
+    }
+    connect_began_ = read_clocks().mono;
+    socket_.async_connect(peer_, [self = shared_from_this()](error_code error) {
+        if (self->closed_) {
+            return;
+        }
+        if (error) {
+            self->finish({exchange_end::connect_failed, {}, error.message()});
+            return;
+        }
+        self->connect_time_ = read_clocks().mono - self->connect_began_;
+        error_code ignored; // the options only speed things up; a dead socket shows on the write
+        self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        unsigned const timeout = static_cast<unsigned>(self->limits_.unacknowledged.count());
+        ::setsockopt(self->socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                     sizeof timeout);
+        self->connected_ = true;
+        self->send();
+    });
+}
+
+void exchange_connection::send()
+{
+    http::async_write(socket_, request_,
+                      [self = shared_from_this()](error_code error, std::size_t) {
+                          // A failed write shows as a failed read; an early answer may still come.
+                          self->sent_ = !error;
+                      });
+    read();
+}
+
+void exchange_connection::read()
+{
+    parser_.emplace();
+    parser_->header_limit(limits_.header_bytes);
+    parser_->body_limit(limits_.body_bytes);
+    if (request_.method() == http::verb::head) {
+        parser_->skip(true);
+    }
+    http::async_read(socket_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code error, std::size_t) {
+                         if (!self->closed_) {
+                             self->on_response(error);
+                         }
+                     });
+}
+
+void exchange_connection::on_response(error_code error)
+{
+    if (error) {
+        finish({exchange_end::broken, {}, error.message()});
+        return;
+    }
+    bool const keeps = parser_->get().keep_alive();
+    http_response response = parser_->release();
+    if (response.result_int() < first_final_status) {
+        read();
+        return;
+    }
+    if (match_ && match_(response) == response_match::foreign) {
+        if (!keeps) {
+            finish({exchange_end::broken, {}, "closed after a response to another request"});
+            return;
+        }
+        read();
+        return;
+    }
+    read_keep_alive(response);
+    reusable_ = keeps && sent_ && buffer_.size() == 0;
+    finish({exchange_end::answered, std::move(response), {}});
+}
+
+void exchange_connection::read_keep_alive(http_response const& response)
+{
+    constexpr std::string_view key = "timeout=";
+    auto const text = response[http::field::keep_alive];
+    std::string_view const value(text.data(), text.size());
+    auto const at = value.find(key);
+    if (at == std::string_view::npos) {
+        return;
+    }
+    int number = 0;
+    auto const* first = value.data() + at + key.size();
+    if (std::from_chars(first, value.data() + value.size(), number).ec == std::errc{}) {
+        keep_alive_ = seconds(number);
+    }
+}
+
+void exchange_connection::finish(exchange_result result)
+{
+    auto const done = std::move(done_);
+    done_ = nullptr;
+    match_ = nullptr;
+    if (result.end != exchange_end::answered) {
+        close();
+    }
+    if (done) {
+        done(std::move(result));
+    }
+}
+
+void exchange_connection::close()
+{
+    closed_ = true;
+    done_ = nullptr;
+    match_ = nullptr;
+    error_code ignored; // closing a socket that the peer has reset is no failure
+    socket_.close(ignored);
+}
+
+bool exchange_connection::usable()
+{
+    if (closed_ || !connected_ || !reusable_) {
+        return false;
+    }
+    char byte = 0;
+    auto const got =
+        ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    // Anything to read is an end of the stream or bytes that belong to no request.
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/http/loop_timers.h
@@ -0,0 +1,51 @@
+#pragma once
+/** @file The timer service of an event loop. */
+
+#include "core/time_type.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace cove {
+
+/** Calls subscribed functions, once or periodically, on the event loop. */
+class loop_timers {
+public:
+    using callback = std::function<void()>;
+    using subscription = std::uint64_t;
+
+    explicit loop_timers(boost::asio::io_context& loop);
+
+    /** Calls @p fn every @p interval until cancelled. @return a handle for cancel(). */
+    subscription every(microseconds interval, callback fn);
+
+    /** Calls @p fn once at @p at. @return a handle for cancel(). */
+    subscription once(mono_time at, callback fn);
+
+    /** Ends a subscription. @param id what to end; an ended one is ignored. */
+    void cancel(subscription id);
+
+private:
+    struct entry {
+        subscription id = 0;
+        microseconds interval{}; ///< zero for one call
+        callback fn;
+    };
+
+    void add(mono_time at, entry what);
+    void arm();
+    void run_due();
+
+    boost::asio::steady_timer timer_;
+    std::multimap<mono_time, entry> queue_;
+    std::map<subscription, mono_time> due_; ///< where each subscription stands in the queue
+    subscription next_id_ = 1;
+    mono_time armed_for_ = mono_time::max();
+};
+
+} // namespace cove
--- /dev/null
+++ b/src/http/server_connection.cpp
@@ -0,0 +1,272 @@
+#include "http/server_connection.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
+
+namespace cove {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr milliseconds write_time{30'000}; ///< a client that reads slower holds memory for nothing
+constexpr milliseconds linger_time{1000};  ///< for the client to read an answer before the close
+constexpr std::size_t linger_chunk = 4096; ///< bytes thrown away at a time
+constexpr milliseconds no_limit = milliseconds::max();
+constexpr unsigned http_version = 11; ///< HTTP/1.1, as Beast writes it
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
+bool expects_continue(http_request const& request)
+{
+    return boost::beast::iequals(request[http::field::expect], "100-continue");
+}
+
+} // namespace
+
+server_connection::server_connection(http_server& server, tcp::socket socket)
+    : server_(server), socket_(std::move(socket))
+{
+}
+
+void server_connection::start()
+{
+    error_code ignored; // Nagle's algorithm only costs time when the option fails
+    socket_.set_option(tcp::no_delay(true), ignored);
+    wait_for_request();
+}
+
+std::string server_connection::client() const
+{
+    error_code error;
+    auto const peer = socket_.remote_endpoint(error);
+    return error ? std::string()
+                 : peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
+void server_connection::enter(phase next, milliseconds longest)
+{
+    phase_ = next;
+    ends_at_ = longest == no_limit ? mono_time::max() : read_clocks().mono + longest;
+}
+
+void server_connection::wait_for_request()
+{
+    parser_.emplace();
+    parser_->header_limit(server_.limits_.header_bytes);
+    parser_->body_limit(server_.limits_.body_bytes);
+    if (buffer_.size() > 0) {
+        read_header();
+        return;
+    }
+    enter(phase::idle, server_.limits_.idle_time);
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        if (self->closed_) {
+            return;
+        }
+        if (error) {
+            self->close();
+            return;
+        }
+        self->read_header();
+    });
+}
+
+void server_connection::read_header()
+{
+    enter(phase::header, server_.limits_.header_time);
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this()](error_code error, std::size_t) {
+                                if (!self->closed_) {
+                                    self->on_header(error);
+                                }
+                            });
+}
+
+void server_connection::on_header(error_code error)
+{
+    if (error == http::error::header_limit) {
+        refuse(http::status::request_header_fields_too_large);
+        return;
+    }
+    if (error == http::error::body_limit) {
+        refuse(http::status::payload_too_large);
+        return;
+    }
+    if (error && error.category() == http::make_error_code(http::error::bad_method).category() &&
+        error != http::error::end_of_stream && error != http::error::partial_message) {
+        refuse(http::status::bad_request);
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    if (parser_->get().count(http::field::transfer_encoding) > 0 && !parser_->chunked()) {
+        refuse(http::status::not_implemented);
+        return;
+    }
+    if (expects_continue(parser_->get()) && !parser_->is_done()) {
+        boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
+                                 [self = shared_from_this()](error_code, std::size_t) {
+                                     if (!self->closed_) {
+                                         self->read_body();
+                                     }
+                                 });
+        return;
+    }
+    read_body();
+}
+
+void server_connection::read_body()
+{
+    if (parser_->is_done()) {
+        hand_over();
+        return;
+    }
+    enter(phase::body, server_.limits_.body_time);
+    http::async_read(socket_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code error, std::size_t) {
+                         if (self->closed_) {
+                             return;
+                         }
+                         if (error == http::error::body_limit) {
+                             self->refuse(http::status::payload_too_large);
+                         }
+                         else if (error) {
+                             self->close();
+                         }
+                         else {
+                             self->hand_over();
+                         }
+                     });
+}
+
+void server_connection::hand_over()
+{
+    enter(phase::call, no_limit);
+    http_request request = parser_->release();
+    keep_ = request.keep_alive();
+    is_head_ = request.method() == http::verb::head;
+    call_ = call_id(server_.next_call_++);
+    server_.calls_[*call_] = this;
+    watch_client();
+    server_.hooks_.request(*call_, std::move(request));
+}
+
+void server_connection::watch_client()
+{
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        if (self->closed_ || self->phase_ != phase::call) {
+            return;
+        }
+        char byte = 0;
+        auto const got =
+            ::recv(self->socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+        if (error || got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+            self->close();
+        }
+        // Bytes of a next request wait until this one is answered.
+    });
+}
+
+void server_connection::respond(http_response response)
+{
+    call_.reset();
+    write(std::move(response), keep_ && !server_.closing_);
+}
+
+void server_connection::refuse(http::status status)
+{
+    write(http_response(status, http_version), false);
+}
+
+void server_connection::write(http_response response, bool keep)
+{
+    enter(phase::response, write_time);
+    response_ = std::move(response);
+    response_.version(http_version);
+    response_.keep_alive(keep);
+    bool const has_no_body = response_.result() == http::status::no_content ||
+                             response_.result() == http::status::not_modified;
+    if (!has_no_body && !is_head_) {
+        response_.content_length(response_.body().size());
+    }
+    http::async_write(socket_, response_,
+                      [self = shared_from_this(), keep](error_code error, std::size_t) {
+                          if (!self->closed_) {
+                              self->on_written(error, keep);
+                          }
+                      });
+}
+
+void server_connection::on_written(error_code error, bool keep)
+{
+    if (error) {
+        close();
+    }
+    else if (keep) {
+        wait_for_request();
+    }
+    else {
+        linger();
+    }
+}
+
+/** Reads on until the client has closed: closing with unread bytes would reset the answer. */
+void server_connection::linger()
+{
+    enter(phase::lingering, linger_time);
+    error_code ignored; // the read below shows a connection that is gone
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    buffer_.consume(buffer_.size());
+    auto drain = [self = shared_from_this()](auto&& again) -> void {
+        self->socket_.async_read_some(self->buffer_.prepare(linger_chunk),
+                                      [self, again](error_code failed, std::size_t) {
+                                          if (failed || self->closed_) {
+                                              self->close();
+                                              return;
+                                          }
+                                          again(again);
+                                      });
+    };
+    drain(drain);
+}
+
+void server_connection::check_time(mono_time now)
+{
+    if (now >= ends_at_) {
+        close();
+    }
+}
+
+void server_connection::close_if_idle()
+{
+    if (phase_ == phase::idle) {
+        close();
+    }
+}
+
+void server_connection::close()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    auto const self = shared_from_this();
+    error_code ignored; // closing a socket that the client has reset is no failure
+    socket_.close(ignored);
+    server_.connections_.erase(this);
+    if (call_) {
+        call_id const left = *call_;
+        call_.reset();
+        server_.calls_.erase(left);
+        server_.hooks_.client_left(left);
+    }
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/peer/peer_message.cpp
@@ -0,0 +1,177 @@
+#include "peer/peer_message.h"
+
+#include "host_gossip.pb.h"
+
+namespace cove {
+
+namespace {
+
+void write(wire::HostReport& out, host_report const& report)
+{
+    out.set_name(report.name.value);
+    out.set_zone(report.zone.value);
+    out.set_ip(report.ip);
+    out.set_client_address(report.client_address);
+    out.set_life(report.life.value);
+    out.set_sequence(report.sequence);
+    out.set_leaving(report.leaving);
+    out.set_ready(report.ready);
+    out.set_config_version(report.config_version.value);
+    out.set_targets_revision(report.targets_at.value);
+    out.set_evacuations_revision(report.evacuations_at.value);
+    for (service_load_report const& load : report.loads) {
+        auto* const item = out.add_loads();
+        item->set_service(load.service.value);
+        item->set_slots(static_cast<float>(load.slots));
+        item->set_busy(static_cast<float>(load.busy));
+        item->set_waiting(static_cast<std::uint32_t>(load.waiting));
+    }
+}
+
+host_report read(wire::HostReport const& in)
+{
+    host_report report;
+    report.name = node_id(in.name());
+    report.zone = zone_id(in.zone());
+    report.ip = in.ip();
+    report.client_address = in.client_address();
+    report.life = host_life(in.life());
+    report.sequence = in.sequence();
+    report.leaving = in.leaving();
+    report.ready = in.ready();
+    report.config_version = generation(in.config_version());
+    report.targets_at = revision(in.targets_revision());
+    report.evacuations_at = revision(in.evacuations_revision());
+    for (wire::ServiceLoadReport const& item : in.loads()) {
+        report.loads.push_back({service_id(item.service()), item.slots(), item.busy(),
+                                static_cast<int>(item.waiting())});
+    }
+    return report;
+}
+
+void write(wire::ListedTarget& out, target_entry const& entry)
+{
+    out.set_id(entry.id.value);
+    out.set_service(entry.service.value);
+    out.set_address(entry.address);
+    out.set_zone(entry.zone.value);
+    out.set_slots(static_cast<std::uint32_t>(entry.slots));
+    out.set_leaving(entry.phase == target_phase::leaving);
+    out.set_cold_left_ms(static_cast<std::uint32_t>(entry.cold_left.count()));
+    out.set_life(entry.life.value);
+}
+
+target_entry read(wire::ListedTarget const& in)
+{
+    target_entry entry;
+    entry.id = target_id(in.id());
+    entry.service = service_id(in.service());
+    entry.address = in.address();
+    entry.zone = zone_id(in.zone());
+    entry.slots = static_cast<int>(in.slots());
+    entry.phase = in.leaving() ? target_phase::leaving : target_phase::serving;
+    entry.cold_left = milliseconds(in.cold_left_ms());
+    entry.life = target_life(in.life());
+    return entry;
+}
+
+void write(wire::HostEnvelope& out, gossip const& message)
+{
+    auto* const body = out.mutable_gossip();
+    body->set_sender(message.sender.value);
+    body->set_answer_wanted(message.answer_wanted);
+    for (host_report const& report : message.reports) {
+        write(*body->add_reports(), report);
+    }
+}
+
+void write(wire::HostEnvelope& out, pull const& message)
+{
+    auto* const body = out.mutable_pull();
+    body->set_sender_ip(message.sender_ip);
+    body->set_config(message.config);
+    body->set_targets(message.targets);
+    body->set_evacuations(message.evacuations);
+}
+
+void write(wire::HostEnvelope& out, snapshot const& message)
+{
+    auto* const body = out.mutable_snapshot();
+    body->set_config_text(message.config_text);
+    body->set_has_targets(message.targets.has_value());
+    if (message.targets) {
+        body->set_targets_revision(message.targets->at.value);
+        for (target_entry const& entry : message.targets->entries) {
+            write(*body->add_targets(), entry);
+        }
+    }
+    body->set_has_evacuations(message.evacuations.has_value());
+    if (message.evacuations) {
+        body->set_evacuations_revision(message.evacuations->at.value);
+        for (zone_id const& zone : message.evacuations->zones) {
+            body->add_evacuations(zone.value);
+        }
+    }
+}
+
+gossip read(wire::HostGossip const& in)
+{
+    gossip message;
+    message.sender = node_id(in.sender());
+    message.answer_wanted = in.answer_wanted();
+    for (wire::HostReport const& report : in.reports()) {
+        message.reports.push_back(read(report));
+    }
+    return message;
+}
+
+snapshot read(wire::HostSnapshot const& in)
+{
+    snapshot message;
+    message.config_text = in.config_text();
+    if (in.has_targets()) {
+        target_snapshot targets{{}, revision(in.targets_revision())};
+        for (wire::ListedTarget const& record : in.targets()) {
+            targets.entries.push_back(read(record));
+        }
+        message.targets = std::move(targets);
+    }
+    if (in.has_evacuations()) {
+        evacuation_snapshot evacuations{{}, revision(in.evacuations_revision())};
+        for (std::string const& zone : in.evacuations()) {
+            evacuations.zones.emplace(zone);
+        }
+        message.evacuations = std::move(evacuations);
+    }
+    return message;
+}
+
+} // namespace
+
+std::string encode_host_message(host_message const& message)
+{
+    wire::HostEnvelope envelope;
+    std::visit([&envelope](auto const& body) { write(envelope, body); }, message);
+    return envelope.SerializeAsString();
+}
+
+result<host_message> decode_host_message(std::string const& bytes, std::string const& peer)
+{
+    wire::HostEnvelope envelope;
+    if (!envelope.ParseFromString(bytes)) {
+        return fail("peer.decode", peer, "not a message of an entry host");
+    }
+    switch (envelope.body_case()) {
+    case wire::HostEnvelope::kGossip:
+        return host_message(read(envelope.gossip()));
+    case wire::HostEnvelope::kPull:
+        return host_message(pull{envelope.pull().sender_ip(), envelope.pull().config(),
+                                 envelope.pull().targets(), envelope.pull().evacuations()});
+    case wire::HostEnvelope::kSnapshot:
+        return host_message(read(envelope.snapshot()));
+    default:
+        return fail("peer.decode", peer, "unknown kind of message");
+    }
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/peer/peer_message.h
@@ -0,0 +1,84 @@
+#pragma once
+/** @file Messages between entry hosts. */
+
+#include "core/error.h"
+#include "core/ids_type.h"
+#include "traffic/target_type.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cove {
+
+using host_life = strong_number<struct host_life_tag>; ///< one start of an entry host
+
+/** What the targets of a zone carry of one service, as one host of the zone sees it. */
+struct service_load_report {
+    service_id service;
+    double slots = 0;
+    double busy = 0;
+    int waiting = 0;
+};
+
+/** What a host says of itself; others pass it on unchanged. */
+struct host_report {
+    node_id name;
+    zone_id zone;
+    std::string ip;
+    std::string client_address; ///< IP:port
+    host_life life;
+    std::uint64_t sequence = 0; ///< grows with each report of a life
+    bool leaving = false;
+    bool ready = false; ///< has a configuration in force
+    generation config_version;
+    revision targets_at;
+    revision evacuations_at;
+    std::vector<service_load_report> loads;
+};
+
+/** Reports of some hosts. */
+struct gossip {
+    node_id sender;
+    std::vector<host_report> reports;
+    bool answer_wanted = false; ///< the sender knows few hosts
+};
+
+/** Asks for what the sender is behind with. */
+struct pull {
+    std::string sender_ip;
+    bool config = false;
+    bool targets = false;
+    bool evacuations = false;
+};
+
+/** The list of targets at a revision. */
+struct target_snapshot {
+    std::vector<target_entry> entries;
+    revision at;
+};
+
+/** The evacuated zones at a revision. */
+struct evacuation_snapshot {
+    std::set<zone_id> zones;
+    revision at;
+};
+
+/** Answers a pull. */
+struct snapshot {
+    std::string config_text; ///< empty when not asked for
+    std::optional<target_snapshot> targets;
+    std::optional<evacuation_snapshot> evacuations;
+};
+
+using host_message = std::variant<gossip, pull, snapshot>;
+
+/** @return the wire form of @p message. */
+std::string encode_host_message(host_message const& message);
+
+/** @return the message in @p bytes. @param peer named in the error. */
+result<host_message> decode_host_message(std::string const& bytes, std::string const& peer);
+
+} // namespace cove
--- /dev/null
+++ b/src/route/route_table.h
@@ -0,0 +1,38 @@
+#pragma once
+/** @file Finds the route of a request. */
+
+#include "route/route_type.h"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace cove {
+
+/** The routes of one configuration, by host and longest path prefix. */
+class route_table {
+public:
+    explicit route_table(routing_config const& config);
+
+    /**
+     * Looks at each slash of the path once, whatever the number of routes.
+     * @param host as the client sent it; a port is ignored, case too.
+     * @param path without the query.
+     * @return the route with the longest prefix of @p path, or null.
+     */
+    [[nodiscard]] std::shared_ptr<route_config const> find(std::string_view host,
+                                                           std::string_view path) const;
+
+    /** @return all routes of @p host. */
+    [[nodiscard]] std::vector<std::shared_ptr<route_config const>>
+    routes_of(std::string_view host) const;
+
+private:
+    using by_prefix = std::unordered_map<std::string, std::shared_ptr<route_config const>>;
+    std::unordered_map<std::string, by_prefix> hosts_;
+};
+
+/** @return the path of a request target: what precedes the query. */
+std::string_view path_of(std::string_view request_target);
+
+} // namespace cove
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,9 @@
 /** Parses JSON text. @param source named in the error. */
 result<nlohmann::json> parse_json(std::string_view text, std::string const& source);
 
+/** @return the time in @p text, a number and its unit ms or s, or nothing. */
+std::optional<milliseconds> parse_duration(std::string_view text);
+
 /** @return the whole file at @p path, or why it cannot be read. */
 result<std::string> read_file(std::string const& path);
 
@@ -102,6 +106,32 @@
                    });
     }
 
+    /** Adds a duration, written as a number and its unit: 1500ms, 2.5s. @return this table. */
+    settings_table& duration(std::string name, milliseconds Settings::*field, std::string help)
+    {
+        return add(std::move(name), "number with unit ms or s", std::move(help),
+                   [field](Settings& s, json const& v) {
+                       auto const time = v.is_string()
+                                             ? parse_duration(v.get_ref<std::string const&>())
+                                             : std::nullopt;
+                       s.*field = time.value_or(milliseconds{0});
+                       return time.has_value();
+                   });
+    }
+
+    /** Adds a number of zero or more. @return this table. */
+    settings_table& number(std::string name, double Settings::*field, std::string help)
+    {
+        return add(std::move(name), "number, 0 or more", std::move(help),
+                   [field](Settings& s, json const& v) {
+                       if (!v.is_number() || v.get<double>() < 0) {
+                           return false;
+                       }
+                       s.*field = v.get<double>();
+                       return true;
+                   });
+    }
+
     /**
      * Adds a setting of a form of its own.
      * @param form the expected form, for errors and help.
--- a/src/standin/object_store.cpp
+++ b/src/standin/object_store.cpp
@@ -1,6 +1,6 @@
 #include "standin/object_store.h"
 
-#include "platform/store_api.h"
+#include "store/store_api.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
--- a/src/standin/standin_store.cpp
+++ b/src/standin/standin_store.cpp
@@ -2,7 +2,7 @@
 
 #include "log/log_func.h"
 #include "net/http_server.h"
-#include "platform/store_api.h"
+#include "store/store_api.h"
 #include "settings/program.h"
 #include "standin/object_store.h"
 
--- a/src/platform/store_client.cpp
+++ b/src/store/object_client.cpp
@@ -1,7 +1,7 @@
-#include "platform/store_client.h"
+#include "store/object_client.h"
 
 #include "net/http_server.h"
-#include "platform/store_api.h"
+#include "store/store_api.h"
 
 #include <charconv>
 
@@ -48,16 +48,16 @@
 
 } // namespace
 
-store_client::store_client(std::string store_address, milliseconds timeout)
+object_client::object_client(std::string store_address, milliseconds timeout)
     : address_(std::move(store_address)), timeout_(timeout)
 {
     auto const where = parse_address(address_);
     client_ = make_http_client(where ? where->ip : "127.0.0.1", where ? where->port : 0, timeout_);
 }
 
-store_client::~store_client() = default;
+object_client::~object_client() = default;
 
-store_result<stored_object> store_client::read(std::string const& name)
+store_result<stored_object> object_client::read(std::string const& name)
 {
     std::lock_guard const lock(mutex_);
     client_->set_read_timeout(timeout_);
@@ -74,7 +74,7 @@
 }
 
 store_result<std::optional<stored_object>>
-store_client::watch(std::string const& name, std::uint64_t after, milliseconds wait)
+object_client::watch(std::string const& name, std::uint64_t after, milliseconds wait)
 {
     std::lock_guard const lock(mutex_);
     client_->set_read_timeout(timeout_ + wait);
@@ -95,7 +95,7 @@
     return std::optional(stored_object{answer->body, version_of(*answer)});
 }
 
-store_result<std::uint64_t> store_client::write(std::string const& name, std::string const& value,
+store_result<std::uint64_t> object_client::write(std::string const& name, std::string const& value,
                                                 std::uint64_t expected)
 {
     std::lock_guard const lock(mutex_);
@@ -115,7 +115,7 @@
     return version_of(*answer);
 }
 
-void store_client::interrupt()
+void object_client::interrupt()
 {
     client_->stop();
 }
--- a/src/platform/store_client.h
+++ b/src/store/object_client.h
@@ -41,15 +41,15 @@
 };
 
 /** One connection to the store; safe to use from several threads, one call at a time. */
-class store_client {
+class object_client {
 public:
     /** @param store_address IP:port. @param timeout of each call, a watch's wait not included. */
-    store_client(std::string store_address, milliseconds timeout);
-    ~store_client();
-    store_client(store_client const&) = delete;
-    store_client& operator=(store_client const&) = delete;
-    store_client(store_client&&) = delete;
-    store_client& operator=(store_client&&) = delete;
+    object_client(std::string store_address, milliseconds timeout);
+    ~object_client();
+    object_client(object_client const&) = delete;
+    object_client& operator=(object_client const&) = delete;
+    object_client(object_client&&) = delete;
+    object_client& operator=(object_client&&) = delete;
 
     /** @return the object @p name. */
     store_result<stored_object> read(std::string const& name);
--- a/src/platform/object_follower.cpp
+++ b/src/store/object_follower.cpp
@@ -1,6 +1,6 @@
-#include "platform/object_follower.h"
+#include "store/object_follower.h"
 
-#include "platform/backoff.h"
+#include "store/backoff.h"
 
 namespace cove {
 
--- a/src/platform/object_follower.h
+++ b/src/store/object_follower.h
@@ -1,7 +1,7 @@
 #pragma once
 /** @file Follows one object of the platform's store from a thread of its own. */
 
-#include "platform/store_client.h"
+#include "store/object_client.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -58,7 +58,7 @@
     follower_options options_;
     changed_handler changed_;
     failed_handler failed_;
-    store_client client_;
+    object_client client_;
     std::uint64_t version_ = 0; ///< newest that was handed on
     std::mutex mutex_;
     std::condition_variable_any role_changed_;
--- /dev/null
+++ b/src/traffic/placement.h
@@ -0,0 +1,47 @@
+#pragma once
+/** @file Chooses the target of a request. Answers the load of every day: warmth is capacity. */
+
+#include "traffic/target_state.h"
+
+#include <memory>
+
+namespace cove {
+
+/** What a choice depends on besides the targets. */
+struct placement_query {
+    route_config const& route;
+    object_key const& object;
+    double load_price = 0; ///< how much a ms of a slot counts beside a ms of waiting
+    double service_mean_ms = 0;
+    std::uint64_t warm_length = 0; ///< of the service's warm window
+    double first_hit_rate = 0; ///< chance that an object's first target is warm through other hosts
+    mono_time now;
+};
+
+/** One way to serve a request. */
+struct placement_option {
+    target_state* target = nullptr;
+    double service_ms = 0; ///< expected time at the target
+    double wait_ms = 0;    ///< expected time until a slot is free
+    double cost = 0;       ///< what is compared
+    bool expected_warm = false;
+    std::optional<std::uint64_t> object_age;
+    std::size_t rank = 0; ///< of the target in the object's order
+};
+
+/** A target that may be chosen. */
+struct placement_candidate {
+    target_state* target = nullptr;
+    double queued = 0;   ///< requests that wait for it in this host
+    double extra_ms = 0; ///< time on the way beyond that within the zone
+};
+
+/**
+ * Orders targets by the hash of object and target, the same on every host, so that an object keeps
+ * its few targets; costs then decide how far to go down that order.
+ * @return all candidates that take work, best first.
+ */
+std::vector<placement_option> rank_targets(placement_query const& query, route_time const& times,
+                                           std::vector<placement_candidate> const& candidates);
+
+} // namespace cove
--- /dev/null
+++ b/src/traffic/service_time.cpp
@@ -0,0 +1,42 @@
+#include "traffic/service_time.h"
+
+namespace cove {
+
+namespace {
+
+constexpr double sample_weight = 0.05; ///< the mean of about the last 40 exchanges
+constexpr double first_warm_share = 0.5; ///< of the objective, before any answer came
+
+} // namespace
+
+route_time::route_time(milliseconds objective)
+    : cold(sample_weight, static_cast<double>(objective.count())),
+      warm(sample_weight, first_warm_share * static_cast<double>(objective.count()))
+{
+}
+
+double route_time::expected(double share) const
+{
+    return share * warm.value() + (1 - share) * cold.value();
+}
+
+route_time& service_times::of(route_config const& route)
+{
+    return routes_.try_emplace(route.name, route.objective).first->second;
+}
+
+double service_times::mean(service_id const& service) const
+{
+    auto const found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.value();
+}
+
+void service_times::add_exchange(service_id const& service, double took_ms)
+{
+    auto const [found, fresh] = services_.try_emplace(service, sample_weight, took_ms);
+    if (!fresh) {
+        found->second.add(took_ms);
+    }
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/traffic/target_list.cpp
@@ -0,0 +1,100 @@
+#include "traffic/target_list.h"
+
+#include <algorithm>
+
+namespace cove {
+
+namespace {
+
+constexpr milliseconds report_lag{500}; ///< from a report to its event here
+constexpr double drain_share = 0.8;     ///< an entry that stays gone must be out of use by `drain`
+
+} // namespace
+
+target_list::target_list(milliseconds heartbeat, milliseconds drain)
+    : restore_time_(std::min(heartbeat + report_lag,
+                             milliseconds(static_cast<std::int64_t>(
+                                 drain_share * static_cast<double>(drain.count())))))
+{
+}
+
+bool target_list::replace(std::vector<target_entry> const& entries, revision at, mono_time now)
+{
+    if (at < at_) {
+        return false;
+    }
+    std::map<target_id, target_entry> listed;
+    for (target_entry const& entry : entries) {
+        listed.emplace(entry.id, entry);
+    }
+    std::vector<target_id> vanished;
+    for (auto const& [id, entry] : entries_) {
+        if (!listed.contains(id)) {
+            vanished.push_back(id);
+        }
+    }
+    bool changed = false;
+    for (target_id const& id : vanished) {
+        remove(id, now);
+    }
+    for (auto const& [id, entry] : listed) {
+        auto const known = entries_.find(id);
+        changed = changed || known == entries_.end() || known->second != entry;
+        put(entry);
+    }
+    at_ = at;
+    return changed || !vanished.empty();
+}
+
+void target_list::put(target_entry const& entry)
+{
+    entries_[entry.id] = entry;
+    missing_.erase(entry.id);
+}
+
+void target_list::remove(target_id const& id, mono_time now)
+{
+    bool const recovering = returned_at_ && now < *returned_at_ + restore_time_;
+    if (recovering && entries_.contains(id)) {
+        missing_.try_emplace(id, *returned_at_ + restore_time_);
+        return;
+    }
+    entries_.erase(id);
+    missing_.erase(id);
+}
+
+void target_list::advance(revision at)
+{
+    at_ = std::max(at_, at);
+}
+
+void target_list::store_returned(mono_time now)
+{
+    returned_at_ = now;
+}
+
+bool target_list::expire(mono_time now)
+{
+    std::size_t const before = entries_.size();
+    for (auto it = missing_.begin(); it != missing_.end();) {
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        entries_.erase(it->first);
+        it = missing_.erase(it);
+    }
+    return entries_.size() != before;
+}
+
+std::vector<target_entry> target_list::entries() const
+{
+    std::vector<target_entry> out;
+    out.reserve(entries_.size());
+    for (auto const& [id, entry] : entries_) {
+        out.push_back(entry);
+    }
+    return out;
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/traffic/traffic.cpp
@@ -0,0 +1,514 @@
+#include "traffic/traffic.h"
+
+#include <algorithm>
+
+namespace cove {
+
+namespace {
+
+constexpr milliseconds give_up_slack{60}; ///< for the target's own answer at the deadline to come
+constexpr double warm_weight = 0.05;      ///< of a sample of how often first targets are warm
+constexpr double first_hit_start = 0.5;   ///< nothing is known of the other hosts' requests yet
+constexpr milliseconds came_back_after{30}; ///< shorter deadlines than that much: a comeback
+
+/// A comeback shows its age by the deadline, which the same client's first try had in full.
+milliseconds spent_before(milliseconds longest, milliseconds deadline)
+{
+    return longest > deadline + came_back_after ? longest - deadline : milliseconds{0};
+}
+
+double as_ms(microseconds time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
+traffic::traffic(traffic_settings settings)
+    : settings_(std::move(settings)), budget_(settings_.repeats)
+{
+}
+
+traffic_effects traffic::reduce(traffic_event const& event, mono_time now)
+{
+    now_ = now;
+    effects_.clear();
+    std::visit([this](auto const& what) { on(what); }, event);
+    return std::move(effects_);
+}
+
+void traffic::on(request_arrived const& event)
+{
+    milliseconds& longest = longest_deadlines_[event.route->name];
+    longest = std::max(longest, event.deadline);
+    pending_request request;
+    request.id = event.id;
+    request.route = event.route;
+    request.service = event.service;
+    request.object = event.object;
+    request.arrived = now_;
+    request.expires = now_ + std::min(event.deadline, event.route->timeout);
+    request.spent_before = spent_before(longest, event.deadline);
+    request.came_back = request.spent_before > milliseconds{0};
+    budget_.count_request(event.service, now_);
+    requests_.emplace(event.id, std::move(request));
+    queues_[event.service].push_back(event.id);
+    pump(event.service);
+}
+
+void traffic::on(attempt_ended const& event)
+{
+    auto const found = requests_.find(event.id);
+    if (found == requests_.end() || found->second.target != event.target) {
+        return; // cancelled meanwhile
+    }
+    pending_request& request = found->second;
+    service_id const service = request.service;
+    learn(request, event);
+    request.target.reset();
+    request.tried.insert(event.target);
+    if (event.end == attempt_end::succeeded || request.abandoned) {
+        effects_.push_back(deliver_answer{event.id});
+        forget(event.id);
+    }
+    else {
+        after_failure(request, event);
+    }
+    pump(service);
+}
+
+void traffic::after_failure(pending_request& request, attempt_ended const& event)
+{
+    bool const not_run = event.end == attempt_end::refused ||
+                         event.end == attempt_end::wrong_target ||
+                         event.end == attempt_end::not_connected;
+    if (event.end == attempt_end::not_connected) {
+        --request.attempts; // nothing reached a target
+    }
+    request.may_have_run = request.may_have_run || !not_run;
+    if ((not_run || request.route->idempotent) && retry(request)) {
+        return;
+    }
+    if (event.end == attempt_end::failed) {
+        effects_.push_back(deliver_answer{request.id});
+        forget(request.id);
+        return;
+    }
+    refuse(request.id, not_run ? refusal::no_room : refusal::lost_answer, milliseconds{0});
+}
+
+bool traffic::retry(pending_request& request)
+{
+    if (request.attempts >= request.route->max_attempts || now_ >= request.expires) {
+        return false;
+    }
+    if (!budget_.take(request.service, hosts_in_total_, now_)) {
+        return false;
+    }
+    queues_[request.service].push_back(request.id);
+    return true;
+}
+
+void traffic::learn(pending_request const& request, attempt_ended const& event)
+{
+    auto const found = targets_.find(event.target);
+    if (found == targets_.end()) {
+        return;
+    }
+    target_state& target = found->second;
+    bool const cold_target = target.cold(now_);
+    double const connect_ms = as_ms(event.connect_time);
+    if (event.connect_time > microseconds{0} && target.entry().zone != settings_.zone) {
+        way_ms_.try_emplace(target.entry().zone, warm_weight, connect_ms)
+            .first->second.add(connect_ms);
+    }
+    double const took_ms =
+        std::max(0.1, as_ms(now_ - request.sent) - connect_ms - request.way_ms);
+    route_time& times = times_.of(*request.route);
+    bool const keyed = request.route->sticky && !request.object.value.empty();
+    double const slowness = target.slowness(now_);
+    bool const was_warm =
+        keyed && took_ms / slowness * took_ms / slowness < times.warm.value() * times.cold.value();
+    double const usual = was_warm ? times.warm.value() : times.cold.value();
+    target.attempt_ended(event, took_ms / std::max(0.1, usual), terms_[request.service].cold_period,
+                         now_);
+    bool const queued_there = event.load && event.load->waiting > 0;
+    if (event.end != attempt_end::succeeded) {
+        return;
+    }
+    times_.add_exchange(request.service, took_ms);
+    if (cold_target || queued_there) {
+        return; // its time says nothing of warmth
+    }
+    (was_warm ? times.warm : times.cold).add(took_ms / slowness);
+    if (keyed && request.object_age) {
+        windows_[request.service].observe(*request.object_age, was_warm);
+    }
+    else if (keyed && request.rank == 0) {
+        first_hits_.try_emplace(request.service, warm_weight, first_hit_start)
+            .first->second.add(was_warm ? 1 : 0);
+    }
+}
+
+void traffic::on(client_gone const& event)
+{
+    auto const found = requests_.find(event.id);
+    if (found == requests_.end()) {
+        return;
+    }
+    pending_request& request = found->second;
+    if (request.target && !request.route->idempotent) {
+        request.abandoned = true; // breaking off a run that cannot be repeated helps nobody
+        return;
+    }
+    service_id const service = request.service;
+    if (request.target) {
+        effects_.push_back(cancel_attempt{event.id});
+    }
+    forget(event.id);
+    pump(service);
+}
+
+void traffic::on(targets_listed const& event)
+{
+    std::set<target_id> listed;
+    by_service_.clear();
+    for (target_entry const& entry : event.entries) {
+        listed.insert(entry.id);
+        by_service_[entry.service].push_back(entry.id);
+        auto const [found, fresh] = targets_.try_emplace(entry.id, entry, now_);
+        if (!fresh && found->second.entry() != entry) {
+            found->second.update(entry, now_);
+        }
+    }
+    std::erase_if(targets_, [&listed](auto const& item) { return !listed.contains(item.first); });
+    for (auto const& [service, queue] : std::map(queues_)) {
+        pump(service);
+    }
+}
+
+void traffic::on(evacuations_listed const& event)
+{
+    for (auto& [id, target] : targets_) {
+        zone_id const& zone = target.entry().zone;
+        if (evacuated_.contains(zone) && !event.zones.contains(zone)) {
+            target.assume_cold(terms_[target.entry().service].cold_period, now_);
+        }
+    }
+    evacuated_ = event.zones;
+}
+
+void traffic::on(services_listed const& event)
+{
+    terms_ = event.services;
+}
+
+void traffic::on(peers_reported const& event)
+{
+    hosts_in_zone_ = std::max(1, event.hosts_in_zone);
+    hosts_in_total_ = std::max(1, event.hosts_in_total);
+    rooms_.clear();
+    for (remote_room const& room : event.rooms) {
+        rooms_[{room.zone, room.service}] = room.requests;
+    }
+}
+
+void traffic::on(time_passed const& /*event*/)
+{
+    std::vector<request_id> running;
+    for (auto const& [id, request] : requests_) {
+        if (request.target) {
+            running.push_back(id);
+        }
+    }
+    for (request_id const& id : running) {
+        check_running(requests_.at(id));
+    }
+    for (auto const& [service, queue] : std::map(queues_)) {
+        pump(service);
+    }
+}
+
+/** Ends what lasts too long; asks another target when an answer seems lost and a repeat is safe. */
+void traffic::check_running(pending_request& request)
+{
+    constexpr double lost_factor = 3;     // answers as late as that are mostly lost
+    constexpr double lost_floor_ms = 200; // hosts that are short of processor time look as late
+    if (now_ >= request.expires + give_up_slack) {
+        effects_.push_back(cancel_attempt{request.id});
+        refuse(request.id, refusal::gave_up, milliseconds{0});
+        return;
+    }
+    double const waited = as_ms(now_ - request.sent);
+    if (!request.route->idempotent ||
+        waited < std::max(lost_floor_ms, lost_factor * request.expected_ms)) {
+        return;
+    }
+    target_id const target = *request.target;
+    if (!retry(request)) {
+        return;
+    }
+    effects_.push_back(cancel_attempt{request.id});
+    if (auto const found = targets_.find(target); found != targets_.end()) {
+        found->second.attempt_cancelled(request.id);
+    }
+    request.tried.insert(target);
+    request.may_have_run = true;
+    request.target.reset();
+}
+
+void traffic::forget(request_id id)
+{
+    auto const found = requests_.find(id);
+    if (found == requests_.end()) {
+        return;
+    }
+    if (found->second.target) {
+        auto const target = targets_.find(*found->second.target);
+        if (target != targets_.end()) {
+            target->second.attempt_cancelled(id);
+        }
+    }
+    std::erase(queues_[found->second.service], id);
+    requests_.erase(found);
+}
+
+void traffic::refuse(request_id id, refusal reason, milliseconds until_room)
+{
+    pending_request const& request = requests_.at(id);
+    if (request.may_have_run && reason != refusal::gave_up) {
+        reason = refusal::lost_answer;
+    }
+    auto const left = std::chrono::duration_cast<milliseconds>(request.expires - now_);
+    effects_.push_back(
+        answer_self{id, reason, come_back_.next(until_room, std::max(left, milliseconds{0})),
+                    request.attempts,
+                    std::chrono::duration_cast<milliseconds>(now_ - request.arrived)});
+    forget(id);
+}
+
+bool traffic::hopeless(pending_request const& request) const
+{
+    auto const waited = now_ - request.arrived + request.spent_before;
+    return waited >= request.route->objective;
+}
+
+bool traffic::comes_before(pending_request const& a, pending_request const& b) const
+{
+    auto const rank = [this](pending_request const& r) {
+        return std::tuple(hopeless(r), r.route->priority, !r.came_back, r.arrived, r.id);
+    };
+    return rank(a) < rank(b);
+}
+
+void traffic::pump(service_id const& service)
+{
+    auto& queue = queues_[service];
+    std::sort(queue.begin(), queue.end(), [this](request_id a, request_id b) {
+        return comes_before(requests_.at(a), requests_.at(b));
+    });
+    std::map<target_id, double> queued;
+    for (request_id const& id : std::vector(queue)) {
+        place(requests_.at(id), queued);
+    }
+}
+
+bool traffic::is_home(route_config const& route, zone_id const& zone) const
+{
+    if (route.home_regions.empty()) {
+        return true;
+    }
+    auto const region = settings_.regions.find(zone);
+    return region != settings_.regions.end() &&
+           std::find(route.home_regions.begin(), route.home_regions.end(), region->second) !=
+               route.home_regions.end();
+}
+
+int traffic::remote_running(zone_id const& zone, service_id const& service) const
+{
+    int count = 0;
+    for (auto const& [id, request] : requests_) {
+        if (request.service != service || !request.target) {
+            continue;
+        }
+        auto const target = targets_.find(*request.target);
+        count += target != targets_.end() && target->second.entry().zone == zone ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<placement_candidate> traffic::candidates(pending_request const& request, bool remote,
+                                                     std::map<target_id, double> const& queued)
+{
+    std::vector<placement_candidate> out;
+    std::map<zone_id, bool> open; // zones that still have room for this host
+    for (target_id const& id : by_service_[request.service]) {
+        target_state& target = targets_.at(id);
+        zone_id const& zone = target.entry().zone;
+        bool const own = zone == settings_.zone;
+        if (own == remote || evacuated_.contains(zone) || !is_home(*request.route, zone)) {
+            continue;
+        }
+        placement_candidate candidate;
+        candidate.target = &target;
+        if (remote) {
+            auto const [known, fresh] = open.try_emplace(zone, false);
+            if (fresh) {
+                auto const room = rooms_.find({zone, request.service});
+                known->second = room != rooms_.end() &&
+                                remote_running(zone, request.service) < room->second;
+            }
+            if (!known->second || target.cold(now_)) {
+                continue;
+            }
+            auto const way = way_ms_.find(zone);
+            candidate.extra_ms = way == way_ms_.end() ? 0 : way->second.value();
+        }
+        auto const waiting = queued.find(id);
+        candidate.queued = waiting == queued.end() ? 0 : waiting->second;
+        out.push_back(candidate);
+    }
+    return out;
+}
+
+double traffic::cold_share(service_id const& service) const
+{
+    auto const terms = terms_.find(service);
+    double const rate = terms == terms_.end() ? 0 : terms->second.cold_rate;
+    return std::max(1.0, rate / hosts_in_zone_);
+}
+
+double traffic::load_price(service_id const& service) const
+{
+    double slots = 0;
+    double busy = 0;
+    auto const ids = by_service_.find(service);
+    if (ids == by_service_.end()) {
+        return 0;
+    }
+    for (target_id const& id : ids->second) {
+        target_state const& target = targets_.at(id);
+        if (target.entry().zone == settings_.zone && target.accepts(now_)) {
+            slots += target.entry().slots;
+            busy += target.load(now_);
+        }
+    }
+    auto const queue = queues_.find(service);
+    double const waiting =
+        queue == queues_.end() ? 0 : static_cast<double>(queue->second.size());
+    return slots > 0 ? (busy + waiting) / slots : 0;
+}
+
+/**
+ * Sends, keeps or refuses a request of the queue.
+ * @param queued counts those that wait for each target, in queue order.
+ * @return whether it has left the queue.
+ */
+bool traffic::place(pending_request& request, std::map<target_id, double>& queued)
+{
+    constexpr int hold_divisor = 8; // a refusal within an eighth of the objective costs nobody time
+    auto const hits = first_hits_.try_emplace(request.service, warm_weight, first_hit_start).first;
+    placement_query const query{*request.route,
+                                request.object,
+                                load_price(request.service),
+                                times_.mean(request.service),
+                                windows_[request.service].length(),
+                                hits->second.value(),
+                                now_};
+    route_time const& times = times_.of(*request.route);
+    double const cold_rate = cold_share(request.service);
+    auto const choose = [&](std::vector<placement_option> const& options) {
+        placement_option const* waits_for = nullptr;
+        for (placement_option const& option : options) {
+            if (request.tried.contains(option.target->entry().id)) {
+                continue;
+            }
+            if (option.target->has_room(cold_rate, now_)) {
+                return std::pair(&option, waits_for);
+            }
+            if (option.target->full(now_)) {
+                waits_for = &option;
+                break; // waiting for it costs less than any of the rest
+            }
+        }
+        return std::pair(static_cast<placement_option const*>(nullptr), waits_for);
+    };
+    auto const options = rank_targets(query, times, candidates(request, false, queued));
+    auto const [free_option, full_option] = choose(options);
+    if (free_option != nullptr) {
+        send(request, *free_option);
+        return true;
+    }
+    double const spent = as_ms(now_ - request.arrived + request.spent_before);
+    double const objective = static_cast<double>(request.route->objective.count());
+    double const wait = full_option == nullptr ? 0 : full_option->wait_ms;
+    double const need = full_option == nullptr ? 0 : wait + full_option->service_ms;
+    if (full_option != nullptr && spent + need <= objective) {
+        queued[full_option->target->entry().id] += 1;
+        return false;
+    }
+    auto const remote_options = rank_targets(query, times, candidates(request, true, queued));
+    auto const remote = choose(remote_options).first;
+    if (remote != nullptr) {
+        send(request, *remote);
+        return true;
+    }
+    auto const until_room = milliseconds(static_cast<std::int64_t>(wait));
+    double const left = as_ms(request.expires - now_);
+    double const held = as_ms(now_ - request.arrived);
+    double const hold = request.came_back || request.attempts > 0
+                            ? (left + held) / 2
+                            : objective / hold_divisor;
+    if (full_option != nullptr && need <= left && held + wait <= hold) {
+        queued[full_option->target->entry().id] += 1;
+        return false;
+    }
+    if (full_option == nullptr && held < objective / hold_divisor && need <= left) {
+        return false; // cold or paused targets may take it in a moment
+    }
+    refuse(request.id, options.empty() ? refusal::no_target : refusal::no_room, until_room);
+    return true;
+}
+
+void traffic::send(pending_request& request, placement_option const& option)
+{
+    std::erase(queues_[request.service], request.id);
+    target_entry const& entry = option.target->entry();
+    request.target = entry.id;
+    request.sent = now_;
+    auto const way = way_ms_.find(entry.zone);
+    request.way_ms = way == way_ms_.end() ? 0 : way->second.value();
+    request.expected_ms = option.service_ms;
+    request.expected_warm = option.expected_warm;
+    request.object_age = option.object_age;
+    request.rank = option.rank;
+    ++request.attempts;
+    option.target->attempt_sent(request.id, request.object, option.service_ms, now_);
+    effects_.push_back(send_attempt{
+        request.id, entry.id, entry.service, entry.address,
+        std::chrono::duration_cast<milliseconds>(request.expires - now_),
+        request.route->idempotent});
+}
+
+std::vector<service_load> traffic::loads(mono_time now) const
+{
+    std::vector<service_load> out;
+    for (auto const& [service, ids] : by_service_) {
+        service_load load;
+        load.service = service;
+        for (target_id const& id : ids) {
+            target_state const& target = targets_.at(id);
+            if (target.entry().zone == settings_.zone && target.accepts(now) &&
+                !evacuated_.contains(settings_.zone) && !target.cold(now)) {
+                load.slots += target.entry().slots;
+                load.busy += target.load(now);
+            }
+        }
+        auto const queue = queues_.find(service);
+        load.waiting = queue == queues_.end() ? 0 : static_cast<int>(queue->second.size());
+        out.push_back(load);
+    }
+    return out;
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/traffic/traffic.h
@@ -0,0 +1,125 @@
+#pragma once
+/** @file The reducer over all requests of an entry host. */
+
+#include "traffic/come_back.h"
+#include "traffic/placement.h"
+#include "traffic/repeat_budget.h"
+#include "traffic/target_state.h"
+#include "traffic/traffic_effect.h"
+
+#include <map>
+#include <set>
+
+namespace cove {
+
+/** Where this host stands and what binds it. */
+struct traffic_settings {
+    zone_id zone;
+    std::map<zone_id, region_id> regions; ///< of every zone
+    repeat_terms repeats;
+    double cold_overage = 1; ///< requests to a cold target that are borne, relative to its rate
+};
+
+/** One request under way. */
+struct pending_request {
+    request_id id;
+    std::shared_ptr<route_config const> route;
+    service_id service;
+    object_key object;
+    mono_time arrived;
+    mono_time expires;          ///< the client's deadline or the route's timeout
+    milliseconds spent_before{}; ///< on earlier tries of the client, as far as the deadline shows
+    int attempts = 0;
+    bool came_back = false;
+    bool may_have_run = false;
+    bool abandoned = false; ///< the client has left; the run goes on
+    std::set<target_id> tried;
+    // of the attempt under way
+    std::optional<target_id> target;
+    mono_time sent;
+    double expected_ms = 0;
+    double way_ms = 0; ///< part of expected_ms spent between zones
+    bool expected_warm = false;
+    std::optional<std::uint64_t> object_age;
+    std::size_t rank = 0;
+};
+
+/** What the targets of this host's zone carry of one service. */
+struct service_load {
+    service_id service;
+    double slots = 0; ///< of targets that take work
+    double busy = 0;  ///< requests that they run
+    int waiting = 0;  ///< requests that wait in this host
+};
+
+/**
+ * Decides for each request: which target, when, how often, and when to give up. It holds no clock,
+ * socket or random device: events carry the time, effects are data.
+ */
+class traffic {
+public:
+    explicit traffic(traffic_settings settings);
+
+    /** Takes one event. @return what to do now. */
+    traffic_effects reduce(traffic_event const& event, mono_time now);
+
+    /** @return whether time_passed is needed soon. */
+    [[nodiscard]] bool waits() const { return !requests_.empty(); }
+
+    /** @return the load of the targets of this zone. */
+    [[nodiscard]] std::vector<service_load> loads(mono_time now) const;
+
+    /** @return how many requests are queued or under way. */
+    [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
+
+private:
+    void on(request_arrived const& event);
+    void on(attempt_ended const& event);
+    void on(client_gone const& event);
+    void on(targets_listed const& event);
+    void on(evacuations_listed const& event);
+    void on(services_listed const& event);
+    void on(peers_reported const& event);
+    void on(time_passed const& event);
+
+    void learn(pending_request const& request, attempt_ended const& event);
+    void after_failure(pending_request& request, attempt_ended const& event);
+    bool retry(pending_request& request);
+    void pump(service_id const& service);
+    bool place(pending_request& request, std::map<target_id, double>& queued);
+    void send(pending_request& request, placement_option const& option);
+    void refuse(request_id id, refusal reason, milliseconds until_room);
+    void forget(request_id id);
+    void check_running(pending_request& request);
+
+    [[nodiscard]] std::vector<placement_candidate>
+    candidates(pending_request const& request, bool remote, std::map<target_id, double> const& queued);
+    [[nodiscard]] bool is_home(route_config const& route, zone_id const& zone) const;
+    [[nodiscard]] double cold_share(service_id const& service) const;
+    [[nodiscard]] double load_price(service_id const& service) const;
+    [[nodiscard]] int remote_running(zone_id const& zone, service_id const& service) const;
+    [[nodiscard]] bool comes_before(pending_request const& a, pending_request const& b) const;
+    [[nodiscard]] bool hopeless(pending_request const& request) const;
+
+    traffic_settings settings_;
+    mono_time now_{};
+    traffic_effects effects_;
+    std::map<target_id, target_state> targets_;
+    std::map<service_id, std::vector<target_id>> by_service_;
+    std::map<service_id, service_terms> terms_;
+    std::set<zone_id> evacuated_;
+    std::map<request_id, pending_request> requests_;
+    std::map<service_id, std::vector<request_id>> queues_;
+    std::map<route_id, milliseconds> longest_deadlines_; ///< seen so far
+    std::map<std::pair<zone_id, service_id>, int> rooms_;
+    std::map<zone_id, moving_mean> way_ms_; ///< there and back, from connection times
+    std::map<service_id, warm_window> windows_;
+    std::map<service_id, moving_mean> first_hits_;
+    service_times times_;
+    repeat_budget budget_;
+    come_back_times come_back_;
+    int hosts_in_zone_ = 1;
+    int hosts_in_total_ = 1;
+};
+
+} // namespace cove
--- a/tests/bridge_test.cpp
+++ b/tests/bridge_test.cpp
@@ -3,7 +3,7 @@
 #include "config/sample.h"
 #include "local_store.h"
 #include "net/peer_codec.h"
-#include "platform/store_api.h"
+#include "store/store_api.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -4,7 +4,7 @@
 #include "ctl/ctl_command.h"
 #include "ctl/submit.h"
 #include "local_store.h"
-#include "platform/store_api.h"
+#include "store/store_api.h"
 
 #include <fstream>
 #include <gtest/gtest.h>
@@ -25,7 +25,7 @@
 
 struct submits : testing::Test {
     local_store local;
-    store_client client{local.address(), milliseconds(300)};
+    object_client client{local.address(), milliseconds(300)};
     std::function<void()> pause = [] {};
     submitter operator_a{client, 3, [this] { pause(); }};
 };
@@ -54,7 +54,7 @@
 
 TEST_F(submits, one_of_two_operators_at_once_wins)
 {
-    store_client other_client{local.address(), milliseconds(300)};
+    object_client other_client{local.address(), milliseconds(300)};
     submitter operator_b{other_client, 3, [] {}};
     for (std::uint64_t seen = 0; seen < 20; ++seen) {
         submit_report second;
@@ -72,7 +72,7 @@
 
 TEST_F(submits, operator_who_writes_after_another_one_loses)
 {
-    store_client other_client{local.address(), milliseconds(300)};
+    object_client other_client{local.address(), milliseconds(300)};
     submitter operator_b{other_client, 3, [] {}};
     submit_report second;
     local.store.on_write([&](std::string const&) {
@@ -240,7 +240,7 @@
     EXPECT_NE(run_drain(options).lines[0].find("drain#/moves/1/to"), std::string::npos);
     options.to = "n1";
     EXPECT_EQ(run_drain(options).exit_code, ctl_ok);
-    store_client client(local.address(), milliseconds(500));
+    object_client client(local.address(), milliseconds(500));
     auto const config = read_configuration(client, read_current(client)->manifest);
     ASSERT_EQ(config->moves.size(), 2U);
     EXPECT_EQ(config->moves[1].from, zone_id{"s1"});
--- a/tests/platform_test.cpp
+++ b/tests/store_test.cpp
@@ -1,6 +1,6 @@
 #include "local_store.h"
-#include "platform/object_follower.h"
-#include "platform/store_client.h"
+#include "store/object_follower.h"
+#include "store/object_client.h"
 
 #include <gtest/gtest.h>
 
@@ -12,7 +12,7 @@
 struct platform : testing::Test {
     local_store local;
     object_store& store = local.store;
-    store_client client{local.address(), milliseconds(500)};
+    object_client client{local.address(), milliseconds(500)};
 };
 
 TEST_F(platform, versions_and_conditions)
