--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -88,7 +88,7 @@
                   [](call_id) {}}),
       view_(self_report(settings_), random_seed()),
       transport_(loop, settings_.peer_port, [this](std::string const& bytes) { on_message(bytes); }),
-      store_(connect_store(hooks())), config_follower_(timers, store_.config, random_seed()),
+      store_(observed(connect_store(hooks()))), config_follower_(timers, store_.config, random_seed()),
       target_follower_(timers, store_.targets, random_seed()),
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
@@ -149,6 +149,23 @@
     return out;
 }
 
+store_port entry_host::observed(store_port port)
+{
+    auto const watch = [this](follow_calls& calls, std::string const& kind) {
+        calls.reachable = [this, kind](bool up, std::string const& detail) {
+            log_.event(up ? "store_regained" : "store_lost", {{"kind", kind}, {"detail", detail}},
+                       read_clocks().mono);
+            if (up && kind == "targets") {
+                targets_.store_returned(read_clocks().mono);
+            }
+        };
+    };
+    watch(port.config, "config");
+    watch(port.targets, "targets");
+    watch(port.evacuations, "evacuations");
+    return port;
+}
+
 result<void> entry_host::start()
 {
     for (std::string const& seed : settings_.seeds) {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -47,6 +47,7 @@
 
 private:
     store_hooks hooks();
+    store_port observed(store_port port);
     void start_following();
     void register_self(int failures);
     void list_hosts(int failures);
