Survey targets once a turn; ask another target only if it takes the request at once

An attempt that seemed lost was cut before another target was found, which broke off runs after SIGTERM (LOST). Change: one survey of the targets for all requests of a turn, object order kept with the request, arrivals weighed alone; the second target is found first.

--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -12,28 +12,8 @@
 constexpr double failure_cost = 2;      ///< a failed attempt costs about that many objectives
 constexpr double silent_cost_ms = 2000; ///< a silent target is only for trials
 
-std::vector<std::size_t> ranks_of(placement_query const& query,
-                                  std::vector<placement_candidate> const& candidates)
-{
-    std::vector<std::pair<std::uint64_t, std::size_t>> order;
-    order.reserve(candidates.size());
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        auto const seed = stable_hash(candidates[i].target->entry().id.value);
-        order.emplace_back(stable_hash(query.object.value, seed), i);
-    }
-    std::sort(order.rbegin(), order.rend());
-    std::vector<std::size_t> ranks(candidates.size());
-    for (std::size_t rank = 0; rank < order.size(); ++rank) {
-        ranks[order[rank].second] = rank;
-    }
-    return ranks;
-}
-
 double warm_share(placement_query const& query, placement_option const& option)
 {
-    if (!query.route.sticky || query.object.value.empty()) {
-        return 0;
-    }
     if (option.object_age) {
         return *option.object_age <= query.warm_length ? 1 : 0;
     }
@@ -42,37 +22,59 @@
 
 } // namespace
 
+placement_candidate survey(target_state& target, mono_time now)
+{
+    placement_candidate out;
+    out.target = &target;
+    out.slots = std::max(1, target.entry().slots);
+    out.load = target.load(now);
+    out.slowness = target.slowness(now);
+    out.failure_rate = target.failure_rate(now);
+    out.silent = target.silent(now);
+    return out;
+}
+
+std::vector<std::size_t> object_order(object_key const& object,
+                                      std::vector<target_state*> const& targets)
+{
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    order.reserve(targets.size());
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        order.emplace_back(stable_hash(object.value, targets[i]->id_hash()), i);
+    }
+    std::sort(order.rbegin(), order.rend());
+    std::vector<std::size_t> ranks(targets.size());
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+        ranks[order[rank].second] = rank;
+    }
+    return ranks;
+}
+
 std::vector<placement_option> rank_targets(placement_query const& query, route_time const& times,
-                                           std::vector<placement_candidate> const& candidates)
+                                           std::vector<placement_candidate>& candidates,
+                                           std::vector<std::size_t> const& ranks)
 {
-    bool const keyed = query.route.sticky && !query.object.value.empty();
-    std::vector<std::size_t> const ranks =
-        keyed ? ranks_of(query, candidates) : std::vector<std::size_t>(candidates.size(), 0);
+    bool const keyed = !ranks.empty();
     std::vector<placement_option> options;
     options.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        target_state& target = *candidates[i].target;
-        if (!target.accepts(query.now)) {
-            continue;
-        }
+        placement_candidate& candidate = candidates[i];
         placement_option option;
-        option.target = &target;
-        option.rank = ranks[i];
-        option.object_age = keyed ? target.object_age(query.object) : std::nullopt;
-        double const share = warm_share(query, option);
-        option.expected_warm = share >= 0.5;
-        double const slowness = target.slowness(query.now);
-        option.service_ms = times.expected(share) * slowness + candidates[i].extra_ms;
-        double const load = target.load(query.now) + candidates[i].queued;
-        double const slots = std::max(1, target.entry().slots);
-        option.wait_ms =
-            std::max(0.0, load - slots + 1) / slots * query.service_mean_ms * slowness;
-        option.cost =
-            option.wait_ms + option.service_ms * (1 + query.load_price) +
-            rank_step_ms * static_cast<double>(option.rank) + load / slots +
-            target.failure_rate(query.now) * failure_cost *
-                static_cast<double>(query.route.objective.count()) +
-            (target.silent(query.now) ? silent_cost_ms : 0);
+        option.candidate = &candidate;
+        option.rank = keyed ? ranks[i] : 0;
+        option.object_age =
+            keyed ? candidate.target->object_age(query.object) : std::nullopt;
+        option.service_ms = times.expected(warm_share(query, option)) * candidate.slowness +
+                            candidate.extra_ms;
+        double const ahead = candidate.load + candidate.queued - candidate.slots + 1;
+        option.wait_ms = std::max(0.0, ahead) / candidate.slots * query.service_mean_ms *
+                         candidate.slowness;
+        option.cost = option.wait_ms + option.service_ms * (1 + query.load_price) +
+                      rank_step_ms * static_cast<double>(option.rank) +
+                      candidate.load / candidate.slots +
+                      candidate.failure_rate * failure_cost *
+                          static_cast<double>(query.route.objective.count()) +
+                      (candidate.silent ? silent_cost_ms : 0);
         options.push_back(option);
     }
     std::sort(options.begin(), options.end(),
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -1,5 +1,7 @@
 #include "traffic/target_state.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -45,7 +47,7 @@
 }
 
 target_state::target_state(target_entry entry, mono_time now)
-    : entry_(std::move(entry)), others_(0, others_half_life, others_weight),
+    : entry_(std::move(entry)), id_hash_(stable_hash(entry_.id.value)), others_(0, others_half_life, others_weight),
       slowness_(1, slowness_half_life, slowness_weight),
       failures_(0, failures_half_life, failures_weight), sent_(one_second),
       cold_until_(now + entry_.cold_left)
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -41,6 +41,9 @@
 
     [[nodiscard]] target_entry const& entry() const { return entry_; }
 
+    /** @return a stable hash of its id. */
+    [[nodiscard]] std::uint64_t id_hash() const { return id_hash_; }
+
     /** Takes over a newer entry; a restart forgets what was learned. */
     void update(target_entry entry, mono_time now);
 
@@ -93,6 +96,7 @@
     void note_load(target_load const& load, mono_time now);
 
     target_entry entry_;
+    std::uint64_t id_hash_;
     std::map<request_id, running_attempt> running_;
     fading_value others_;   ///< load of other hosts
     fading_value slowness_;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -51,9 +51,10 @@
     request.spent_before = spent_before(longest, event.deadline);
     request.came_back = request.spent_before > milliseconds{0};
     budget_.count_request(event.service, now_);
-    requests_.emplace(event.id, std::move(request));
+    auto const added = requests_.emplace(event.id, std::move(request)).first;
     queues_[event.service].push_back(event.id);
-    pump(event.service);
+    placing_turn turn = begin_turn(event.service);
+    place(added->second, turn);
 }
 
 void traffic::on(attempt_ended const& event)
@@ -173,13 +174,15 @@
 {
     std::set<target_id> listed;
     by_service_.clear();
+    ++list_version_;
     for (target_entry const& entry : event.entries) {
         listed.insert(entry.id);
-        by_service_[entry.service].push_back(entry.id);
         auto const [found, fresh] = targets_.try_emplace(entry.id, entry, now_);
         if (!fresh && found->second.entry() != entry) {
             found->second.update(entry, now_);
         }
+        service_targets& targets = by_service_[entry.service];
+        (entry.zone == settings_.zone ? targets.own : targets.remote).push_back(&found->second);
     }
     std::erase_if(targets_, [&listed](auto const& item) { return !listed.contains(item.first); });
     for (auto const& [service, queue] : std::map(queues_)) {
@@ -244,17 +247,34 @@
         waited < std::max(lost_floor_ms, lost_factor * request.expected_ms)) {
         return;
     }
-    target_id const target = *request.target;
-    if (!retry(request)) {
+    ask_another(request);
+}
+
+/** Sends a request that may be repeated to another target, if one takes it at once. */
+void traffic::ask_another(pending_request& request)
+{
+    if (request.attempts >= request.route->max_attempts) {
         return;
     }
-    effects_.push_back(cancel_attempt{request.id});
-    if (auto const found = targets_.find(target); found != targets_.end()) {
-        found->second.attempt_cancelled(request.id);
+    target_id const silent = *request.target;
+    request.tried.insert(silent);
+    placing_turn turn = begin_turn(request.service);
+    for (placement_option const& option : own_options(request, turn)) {
+        bool const same = option.candidate->target->entry().id == silent;
+        if (same || !option.candidate->target->has_room(cold_share(request.service), now_)) {
+            continue;
+        }
+        if (!budget_.take(request.service, hosts_in_total_, now_)) {
+            return;
+        }
+        effects_.push_back(cancel_attempt{request.id});
+        if (auto const found = targets_.find(silent); found != targets_.end()) {
+            found->second.attempt_cancelled(request.id);
+        }
+        request.may_have_run = true;
+        send(request, option);
+        return;
     }
-    request.tried.insert(target);
-    request.may_have_run = true;
-    request.target.reset();
 }
 
 void traffic::forget(request_id id)
@@ -304,12 +324,18 @@
 void traffic::pump(service_id const& service)
 {
     auto& queue = queues_[service];
+    if (queue.empty()) {
+        return;
+    }
     std::sort(queue.begin(), queue.end(), [this](request_id a, request_id b) {
         return comes_before(requests_.at(a), requests_.at(b));
     });
-    std::map<target_id, double> queued;
+    for (request_id const& id : queue) {
+        requests_.at(id).waits_for = nullptr;
+    }
+    placing_turn turn = begin_turn(service);
     for (request_id const& id : std::vector(queue)) {
-        place(requests_.at(id), queued);
+        place(requests_.at(id), turn);
     }
 }
 
@@ -337,40 +363,6 @@
     return count;
 }
 
-std::vector<placement_candidate> traffic::candidates(pending_request const& request, bool remote,
-                                                     std::map<target_id, double> const& queued)
-{
-    std::vector<placement_candidate> out;
-    std::map<zone_id, bool> open; // zones that still have room for this host
-    for (target_id const& id : by_service_[request.service]) {
-        target_state& target = targets_.at(id);
-        zone_id const& zone = target.entry().zone;
-        bool const own = zone == settings_.zone;
-        if (own == remote || evacuated_.contains(zone) || !is_home(*request.route, zone)) {
-            continue;
-        }
-        placement_candidate candidate;
-        candidate.target = &target;
-        if (remote) {
-            auto const [known, fresh] = open.try_emplace(zone, false);
-            if (fresh) {
-                auto const room = rooms_.find({zone, request.service});
-                known->second = room != rooms_.end() &&
-                                remote_running(zone, request.service) < room->second;
-            }
-            if (!known->second || target.cold(now_)) {
-                continue;
-            }
-            auto const way = way_ms_.find(zone);
-            candidate.extra_ms = way == way_ms_.end() ? 0 : way->second.value();
-        }
-        auto const waiting = queued.find(id);
-        candidate.queued = waiting == queued.end() ? 0 : waiting->second;
-        out.push_back(candidate);
-    }
-    return out;
-}
-
 double traffic::cold_share(service_id const& service) const
 {
     auto const terms = terms_.find(service);
@@ -378,112 +370,192 @@
     return std::max(1.0, rate / hosts_in_zone_);
 }
 
-double traffic::load_price(service_id const& service) const
+/** Surveys the targets of this zone once for all requests that are placed now. */
+placing_turn traffic::begin_turn(service_id const& service)
 {
+    placing_turn turn;
     double slots = 0;
     double busy = 0;
-    auto const ids = by_service_.find(service);
-    if (ids == by_service_.end()) {
-        return 0;
-    }
-    for (target_id const& id : ids->second) {
-        target_state const& target = targets_.at(id);
-        if (target.entry().zone == settings_.zone && target.accepts(now_)) {
-            slots += target.entry().slots;
-            busy += target.load(now_);
+    auto const& own = by_service_[service].own;
+    for (std::size_t i = 0; i < own.size(); ++i) {
+        if (!own[i]->accepts(now_) || evacuated_.contains(settings_.zone)) {
+            continue;
+        }
+        turn.own.push_back(survey(*own[i], now_));
+        turn.own_index.push_back(i);
+        slots += turn.own.back().slots;
+        busy += turn.own.back().load;
+    }
+    auto const& queue = queues_[service];
+    for (request_id const& id : queue) {
+        target_state const* const waited_for = requests_.at(id).waits_for;
+        for (placement_candidate& candidate : turn.own) {
+            candidate.queued += candidate.target == waited_for ? 1 : 0;
         }
     }
-    auto const queue = queues_.find(service);
-    double const waiting =
-        queue == queues_.end() ? 0 : static_cast<double>(queue->second.size());
-    return slots > 0 ? (busy + waiting) / slots : 0;
+    turn.load_price = slots > 0 ? (busy + static_cast<double>(queue.size())) / slots : 0;
+    return turn;
 }
 
-/**
- * Sends, keeps or refuses a request of the queue.
- * @param queued counts those that wait for each target, in queue order.
- * @return whether it has left the queue.
- */
-bool traffic::place(pending_request& request, std::map<target_id, double>& queued)
+/** Surveys targets of other zones, as far as those zones have given this host room. */
+void traffic::survey_remote(placing_turn& turn, service_id const& service)
+{
+    if (turn.remote_surveyed) {
+        return;
+    }
+    turn.remote_surveyed = true;
+    std::map<zone_id, bool> open;
+    for (target_state* const target : by_service_[service].remote) {
+        zone_id const& zone = target->entry().zone;
+        auto const [known, fresh] = open.try_emplace(zone, false);
+        if (fresh) {
+            auto const room = rooms_.find({zone, service});
+            known->second = room != rooms_.end() && !evacuated_.contains(zone) &&
+                            remote_running(zone, service) < room->second;
+        }
+        if (!known->second || target->cold(now_) || !target->accepts(now_)) {
+            continue;
+        }
+        placement_candidate candidate = survey(*target, now_);
+        auto const way = way_ms_.find(zone);
+        candidate.extra_ms = way == way_ms_.end() ? 0 : way->second.value();
+        turn.remote.push_back(candidate);
+    }
+}
+
+std::vector<placement_option> traffic::rank(pending_request& request, placing_turn const& turn,
+                                            std::vector<placement_candidate>& candidates,
+                                            std::vector<std::size_t> const& ranks)
 {
-    constexpr int hold_divisor = 8; // a refusal within an eighth of the objective costs nobody time
     auto const hits = first_hits_.try_emplace(request.service, warm_weight, first_hit_start).first;
     placement_query const query{*request.route,
                                 request.object,
-                                load_price(request.service),
+                                turn.load_price,
                                 times_.mean(request.service),
                                 windows_[request.service].length(),
-                                hits->second.value(),
-                                now_};
-    route_time const& times = times_.of(*request.route);
+                                hits->second.value()};
+    auto options = rank_targets(query, times_.of(*request.route), candidates, ranks);
+    std::erase_if(options, [&](placement_option const& option) {
+        return !is_home(*request.route, option.candidate->target->entry().zone);
+    });
+    auto const untried = [&](placement_option const& option) {
+        return !request.tried.contains(option.candidate->target->entry().id);
+    };
+    // A target that failed once is still better than none.
+    if (std::any_of(options.begin(), options.end(), untried)) {
+        std::erase_if(options, [&](auto const& option) { return !untried(option); });
+    }
+    return options;
+}
+
+std::vector<placement_option> traffic::own_options(pending_request& request, placing_turn& turn)
+{
+    bool const keyed = request.route->sticky && !request.object.value.empty();
+    std::vector<std::size_t> ranks;
+    if (keyed) {
+        if (request.order_version != list_version_) {
+            request.order = object_order(request.object, by_service_[request.service].own);
+            request.order_version = list_version_;
+        }
+        for (std::size_t const index : turn.own_index) {
+            ranks.push_back(request.order[index]);
+        }
+    }
+    return rank(request, turn, turn.own, ranks);
+}
+
+std::vector<placement_option> traffic::remote_options(pending_request& request, placing_turn& turn)
+{
+    survey_remote(turn, request.service);
+    bool const keyed = request.route->sticky && !request.object.value.empty();
+    std::vector<std::size_t> ranks;
+    if (keyed) {
+        std::vector<target_state*> targets;
+        for (placement_candidate const& candidate : turn.remote) {
+            targets.push_back(candidate.target);
+        }
+        ranks = object_order(request.object, targets);
+    }
+    return rank(request, turn, turn.remote, ranks);
+}
+
+/** Sends a request of the queue, lets it wait, or refuses it. */
+void traffic::place(pending_request& request, placing_turn& turn)
+{
     double const cold_rate = cold_share(request.service);
-    auto const choose = [&](std::vector<placement_option> const& options) {
-        placement_option const* waits_for = nullptr;
-        for (placement_option const& option : options) {
-            if (request.tried.contains(option.target->entry().id)) {
-                continue;
-            }
-            if (option.target->has_room(cold_rate, now_)) {
-                return std::pair(&option, waits_for);
-            }
-            if (option.target->full(now_)) {
-                waits_for = &option;
-                break; // waiting for it costs less than any of the rest
-            }
+    placement_option const* waits_for = nullptr;
+    auto const own = own_options(request, turn);
+    for (placement_option const& option : own) {
+        if (option.candidate->target->has_room(cold_rate, now_)) {
+            send(request, option);
+            return;
+        }
+        if (option.candidate->full()) {
+            waits_for = &option; // waiting for it costs less than any of the rest
+            break;
         }
-        return std::pair(static_cast<placement_option const*>(nullptr), waits_for);
-    };
-    auto const options = rank_targets(query, times, candidates(request, false, queued));
-    auto const [free_option, full_option] = choose(options);
-    if (free_option != nullptr) {
-        send(request, *free_option);
-        return true;
     }
+    wait_or_refuse(request, turn, waits_for);
+}
+
+/**
+ * Under overload, what still meets its objective waits; the rest goes to another zone that gave
+ * room, waits a moment if it may not come back, or is refused at once.
+ */
+void traffic::wait_or_refuse(pending_request& request, placing_turn& turn,
+                             placement_option const* waits_for)
+{
+    constexpr int hold_divisor = 8; // a refusal within an eighth of the objective costs nobody time
     double const spent = as_ms(now_ - request.arrived + request.spent_before);
     double const objective = static_cast<double>(request.route->objective.count());
-    double const wait = full_option == nullptr ? 0 : full_option->wait_ms;
-    double const need = full_option == nullptr ? 0 : wait + full_option->service_ms;
-    if (full_option != nullptr && spent + need <= objective) {
-        queued[full_option->target->entry().id] += 1;
-        return false;
+    double const wait = waits_for == nullptr ? 0 : waits_for->wait_ms;
+    double const need = waits_for == nullptr ? 0 : wait + waits_for->service_ms;
+    auto const keep_waiting = [&] {
+        if (waits_for != nullptr) {
+            waits_for->candidate->queued += 1;
+            request.waits_for = waits_for->candidate->target;
+        }
+    };
+    if (waits_for != nullptr && spent + need <= objective) {
+        keep_waiting();
+        return;
     }
-    auto const remote_options = rank_targets(query, times, candidates(request, true, queued));
-    auto const remote = choose(remote_options).first;
-    if (remote != nullptr) {
-        send(request, *remote);
-        return true;
+    for (placement_option const& option : remote_options(request, turn)) {
+        if (option.candidate->target->has_room(0, now_)) {
+            send(request, option);
+            turn.remote_surveyed = false; // its zone may have no more room
+            turn.remote.clear();
+            return;
+        }
     }
-    auto const until_room = milliseconds(static_cast<std::int64_t>(wait));
     double const left = as_ms(request.expires - now_);
     double const held = as_ms(now_ - request.arrived);
-    double const hold = request.came_back || request.attempts > 0
-                            ? (left + held) / 2
-                            : objective / hold_divisor;
-    if (full_option != nullptr && need <= left && held + wait <= hold) {
-        queued[full_option->target->entry().id] += 1;
-        return false;
-    }
-    if (full_option == nullptr && held < objective / hold_divisor && need <= left) {
-        return false; // cold or paused targets may take it in a moment
+    double const hold = request.came_back || request.attempts > 0 ? (left + held) / 2
+                                                                  : objective / hold_divisor;
+    if (need <= left && held + wait < hold) {
+        keep_waiting();
+        return;
     }
-    refuse(request.id, options.empty() ? refusal::no_target : refusal::no_room, until_room);
-    return true;
+    refuse(request.id, turn.own.empty() ? refusal::no_target : refusal::no_room,
+           milliseconds(static_cast<std::int64_t>(wait)));
 }
 
 void traffic::send(pending_request& request, placement_option const& option)
 {
     std::erase(queues_[request.service], request.id);
-    target_entry const& entry = option.target->entry();
+    target_state& target = *option.candidate->target;
+    target_entry const& entry = target.entry();
     request.target = entry.id;
+    request.waits_for = nullptr;
     request.sent = now_;
     auto const way = way_ms_.find(entry.zone);
     request.way_ms = way == way_ms_.end() ? 0 : way->second.value();
     request.expected_ms = option.service_ms;
-    request.expected_warm = option.expected_warm;
     request.object_age = option.object_age;
     request.rank = option.rank;
     ++request.attempts;
-    option.target->attempt_sent(request.id, request.object, option.service_ms, now_);
+    target.attempt_sent(request.id, request.object, option.service_ms, now_);
+    option.candidate->load += 1;
     effects_.push_back(send_attempt{
         request.id, entry.id, entry.service, entry.address,
         std::chrono::duration_cast<milliseconds>(request.expires - now_),
@@ -493,15 +565,14 @@
 std::vector<service_load> traffic::loads(mono_time now) const
 {
     std::vector<service_load> out;
-    for (auto const& [service, ids] : by_service_) {
+    for (auto const& [service, targets] : by_service_) {
         service_load load;
         load.service = service;
-        for (target_id const& id : ids) {
-            target_state const& target = targets_.at(id);
-            if (target.entry().zone == settings_.zone && target.accepts(now) &&
-                !evacuated_.contains(settings_.zone) && !target.cold(now)) {
-                load.slots += target.entry().slots;
-                load.busy += target.load(now);
+        for (target_state const* const target : targets.own) {
+            if (target->accepts(now) && !target->cold(now) &&
+                !evacuated_.contains(settings_.zone)) {
+                load.slots += target->entry().slots;
+                load.busy += target->load(now);
             }
         }
         auto const queue = queues_.find(service);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -34,14 +34,32 @@
     bool may_have_run = false;
     bool abandoned = false; ///< the client has left; the run goes on
     std::set<target_id> tried;
+    target_state const* waits_for = nullptr; ///< the target whose queue it counts in
     // of the attempt under way
     std::optional<target_id> target;
     mono_time sent;
     double expected_ms = 0;
     double way_ms = 0; ///< part of expected_ms spent between zones
-    bool expected_warm = false;
     std::optional<std::uint64_t> object_age;
     std::size_t rank = 0;
+    // the order of the targets of this zone for the object, as of a version of the list
+    std::vector<std::size_t> order;
+    std::uint64_t order_version = 0;
+};
+
+/** The targets of a service by place. */
+struct service_targets {
+    std::vector<target_state*> own;    ///< in this host's zone
+    std::vector<target_state*> remote; ///< in other zones
+};
+
+/** What the requests of one service that are placed in one turn share. */
+struct placing_turn {
+    std::vector<placement_candidate> own;
+    std::vector<std::size_t> own_index; ///< of each candidate in service_targets::own
+    std::vector<placement_candidate> remote;
+    bool remote_surveyed = false;
+    double load_price = 0;
 };
 
 /** What the targets of this host's zone carry of one service. */
@@ -86,17 +104,24 @@
     void after_failure(pending_request& request, attempt_ended const& event);
     bool retry(pending_request& request);
     void pump(service_id const& service);
-    bool place(pending_request& request, std::map<target_id, double>& queued);
+    placing_turn begin_turn(service_id const& service);
+    void survey_remote(placing_turn& turn, service_id const& service);
+    void place(pending_request& request, placing_turn& turn);
+    std::vector<placement_option> own_options(pending_request& request, placing_turn& turn);
+    std::vector<placement_option> remote_options(pending_request& request, placing_turn& turn);
+    std::vector<placement_option> rank(pending_request& request, placing_turn const& turn,
+                                       std::vector<placement_candidate>& candidates,
+                                       std::vector<std::size_t> const& ranks);
+    void wait_or_refuse(pending_request& request, placing_turn& turn,
+                        placement_option const* waits_for);
     void send(pending_request& request, placement_option const& option);
     void refuse(request_id id, refusal reason, milliseconds until_room);
     void forget(request_id id);
     void check_running(pending_request& request);
+    void ask_another(pending_request& request);
 
-    [[nodiscard]] std::vector<placement_candidate>
-    candidates(pending_request const& request, bool remote, std::map<target_id, double> const& queued);
     [[nodiscard]] bool is_home(route_config const& route, zone_id const& zone) const;
     [[nodiscard]] double cold_share(service_id const& service) const;
-    [[nodiscard]] double load_price(service_id const& service) const;
     [[nodiscard]] int remote_running(zone_id const& zone, service_id const& service) const;
     [[nodiscard]] bool comes_before(pending_request const& a, pending_request const& b) const;
     [[nodiscard]] bool hopeless(pending_request const& request) const;
@@ -105,7 +130,8 @@
     mono_time now_{};
     traffic_effects effects_;
     std::map<target_id, target_state> targets_;
-    std::map<service_id, std::vector<target_id>> by_service_;
+    std::map<service_id, service_targets> by_service_;
+    std::uint64_t list_version_ = 1; ///< of targets_
     std::map<service_id, service_terms> terms_;
     std::set<zone_id> evacuated_;
     std::map<request_id, pending_request> requests_;
