Tell clients apart by IP in look-ups

Cause: a client's port changes with each connection, so its place in the shares did too and it changed zones with each look-up.

--- a/src/http/server.h
+++ b/src/http/server.h
@@ -66,7 +66,7 @@
     /** @return how many connections are open. */
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
-    /** @return the IP and port of the client that made @p call; empty when it is gone. */
+    /** @return the IP of the client that made @p call; empty when it is gone. */
     [[nodiscard]] std::string client_of(call_id call) const;
 
 private:
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -44,8 +44,7 @@
 {
     error_code error;
     auto const peer = socket_.remote_endpoint(error);
-    return error ? std::string()
-                 : peer.address().to_string() + ":" + std::to_string(peer.port());
+    return error ? std::string() : peer.address().to_string();
 }
 
 void server_connection::enter(phase next, milliseconds longest)
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -17,7 +17,7 @@
     /** Starts to read. */
     void start();
 
-    /** @return the client's IP and port; empty when it is gone. */
+    /** @return the client's IP; empty when it is gone. */
     [[nodiscard]] std::string client() const;
 
     /** Sends the answer of the call under way. */
