Let homes bind look-ups only where all routes of a host have homes

Cause: routes that only test configurations share the hosts of the real ones and have homes, so clients of whole regions were kept from their own targets.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -550,9 +550,7 @@
     mono_time const now = read_clocks().mono;
     lookup_query query{lookup->zone, directory_.client_of(call), {}};
     if (carrier_.routes() != nullptr) {
-        for (auto const& route : carrier_.routes()->routes_of(lookup->host)) {
-            query.regions.insert(route->home_regions.begin(), route->home_regions.end());
-        }
+        query.regions = carrier_.routes()->home_regions(lookup->host);
     }
     std::vector<directory_host> hosts;
     for (host_report const& host : view_.serving(now)) {
--- a/src/route/route_table.cpp
+++ b/src/route/route_table.cpp
@@ -42,14 +42,18 @@
     return nullptr;
 }
 
-std::vector<std::shared_ptr<route_config const>> route_table::routes_of(std::string_view host) const
+std::set<region_id> route_table::home_regions(std::string_view host) const
 {
-    std::vector<std::shared_ptr<route_config const>> out;
+    std::set<region_id> out;
     auto const prefixes = hosts_.find(host_key(host));
-    if (prefixes != hosts_.end()) {
-        for (auto const& [prefix, route] : prefixes->second) {
-            out.push_back(route);
+    if (prefixes == hosts_.end()) {
+        return out;
+    }
+    for (auto const& [prefix, route] : prefixes->second) {
+        if (route->home_regions.empty()) {
+            return {};
         }
+        out.insert(route->home_regions.begin(), route->home_regions.end());
     }
     return out;
 }
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -4,6 +4,7 @@
 #include "route/route_type.h"
 
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -23,9 +24,11 @@
     [[nodiscard]] std::shared_ptr<route_config const> find(std::string_view host,
                                                            std::string_view path) const;
 
-    /** @return all routes of @p host. */
-    [[nodiscard]] std::vector<std::shared_ptr<route_config const>>
-    routes_of(std::string_view host) const;
+    /**
+     * @return the regions that clients of @p host may be sent to; empty: any. Clients look up a
+     * host, not a route, so its homes bind only when all its routes have homes.
+     */
+    [[nodiscard]] std::set<region_id> home_regions(std::string_view host) const;
 
 private:
     using by_prefix = std::unordered_map<std::string, std::shared_ptr<route_config const>>;
