--- a/src/directory/client_shares.cpp
+++ b/src/directory/client_shares.cpp
@@ -7,8 +7,11 @@
 
 namespace {
 
-constexpr double comfortable_load = 0.6; ///< of the slots; above it waits grow
-constexpr double least_demand = 0.5;     ///< of the slots: what is prepared for before traffic comes
+/// Load of a zone relative to the mean of all that is still planned for: moving clients whole, so
+/// that their objects stay warm in one zone, gained more than even loads did.
+constexpr double highest_load = 1.2;
+constexpr double least_load = 0.3;  ///< of the slots; differences below it mean nothing
+constexpr double load_weight = 0.0; ///< how strongly uneven loads move clients
 constexpr double negligible = 1e-6;
 
 /** Cached answers move late and together, so only part of the cap is planned for. */
@@ -16,109 +19,139 @@
 constexpr double cap_window_s = 2;
 constexpr seconds longest_step{2}; ///< time that counts between two moves
 
-/** @return the share of all traffic that each zone can bear. */
-std::map<zone_id, double> bearable(std::vector<steered_zone> const& zones)
+/**
+ * @return the part of all traffic that each zone should carry: its part of the slots, less where
+ * more of them are in use than elsewhere. Of several services the scarcest counts.
+ */
+std::map<zone_id, double> fair_parts(std::vector<steered_zone> const& zones)
 {
     std::map<service_id, zone_capacity> totals;
     for (steered_zone const& zone : zones) {
         for (auto const& [service, capacity] : zone.services) {
             totals[service].slots += zone.usable ? capacity.slots : 0;
-            totals[service].busy += capacity.busy;
+            totals[service].busy += zone.usable ? capacity.busy : 0;
         }
     }
     std::map<zone_id, double> out;
+    double sum = 0;
     for (steered_zone const& zone : zones) {
-        double share = zone.usable ? 1 : 0;
+        double part = zone.usable ? 1 : 0;
         for (auto const& [service, total] : totals) {
-            if (!zone.usable || total.slots <= 0) {
+            auto const own = zone.services.find(service);
+            if (total.slots <= 0) {
                 continue;
             }
-            auto const own = zone.services.find(service);
-            double const slots = own == zone.services.end() ? 0 : own->second.slots;
-            double const demand = std::max(total.busy, least_demand * total.slots);
-            double const load = std::max(comfortable_load, demand / total.slots);
-            share = std::min(share, load * slots / demand);
+            zone_capacity const capacity =
+                own == zone.services.end() ? zone_capacity{} : own->second;
+            double const mean = std::max(least_load, total.busy / total.slots);
+            double const load =
+                capacity.slots > 0 ? std::max(least_load, capacity.busy / capacity.slots) : mean;
+            part = std::min(part, capacity.slots / total.slots * std::pow(mean / load, load_weight));
         }
-        out[zone.zone] = share;
+        out[zone.zone] = part;
+        sum += part;
+    }
+    for (auto& [zone, part] : out) {
+        part = sum > 0 ? part / sum : 0;
     }
     return out;
 }
 
-/** Zones in the order in which a client zone's excess goes to them. */
-std::vector<steered_zone const*> receivers(std::vector<steered_zone> const& zones,
-                                           steered_zone const& from,
-                                           std::map<zone_id, double> const& spare)
-{
-    std::vector<steered_zone const*> out;
-    for (steered_zone const& zone : zones) {
-        if (zone.usable && zone.zone != from.zone) {
-            out.push_back(&zone);
+/** Divides the traffic of client zones among zones. */
+class share_planner {
+public:
+    explicit share_planner(std::vector<steered_zone> const& zones)
+        : zones_(zones), traffic_(1.0 / static_cast<double>(zones.size()))
+    {
+        for (auto const& [zone, part] : fair_parts(zones)) {
+            spare_[zone] = highest_load * part;
         }
     }
-    std::sort(out.begin(), out.end(), [&](steered_zone const* a, steered_zone const* b) {
-        auto const rank = [&](steered_zone const* z) {
-            return std::tuple(z->region != from.region, -spare.at(z->zone), z->zone);
-        };
-        return rank(a) < rank(b);
-    });
-    return out;
-}
 
-} // namespace
-
-std::map<zone_id, zone_shares> wanted_shares(std::vector<steered_zone> const& zones)
-{
-    std::map<zone_id, zone_shares> out;
-    std::map<zone_id, double> const limits = bearable(zones);
-    double total = 0;
-    for (auto const& [zone, limit] : limits) {
-        total += limit;
-    }
-    if (zones.empty() || total <= negligible) {
-        return out;
-    }
-    double const traffic = 1.0 / static_cast<double>(zones.size()); // of each client zone
-    double const stretch = std::max(1.0, 1.0 / total); // all bear more when together too little
-    std::map<zone_id, double> spare;
-    std::vector<std::pair<double, steered_zone const*>> excess;
-    for (steered_zone const& zone : zones) {
-        double const limit = limits.at(zone.zone) * stretch;
-        double const home = std::min(traffic, limit);
-        if (home > negligible) {
-            out[zone.zone][zone.zone] = home / traffic;
+    std::map<zone_id, zone_shares> plan()
+    {
+        std::map<zone_id, double> left;
+        for (steered_zone const& zone : zones_) {
+            double const home = std::min(1.0, spare_.at(zone.zone) / traffic_);
+            left[zone.zone] = give(zone, zone.zone, home) ? 1 - home : 1;
         }
-        spare[zone.zone] = limit - home;
-        if (traffic - home > negligible) {
-            excess.emplace_back(traffic - home, &zone);
+        for (steered_zone const& zone : zones_) {
+            divide(zone, left.at(zone.zone));
         }
+        return std::move(shares_);
     }
-    std::sort(excess.begin(), excess.end(), [](auto const& a, auto const& b) {
-        return std::tuple(-a.first, a.second->zone) < std::tuple(-b.first, b.second->zone);
-    });
-    for (auto& [left, from] : excess) {
-        for (steered_zone const* to : receivers(zones, *from, spare)) {
-            double const moved = std::min(left, spare.at(to->zone));
-            if (moved > negligible) {
-                out[from->zone][to->zone] += moved / traffic;
-                spare[to->zone] -= moved;
-                left -= moved;
+
+private:
+    /** Gives @p part of the clients of @p from to @p to, if it bears them. */
+    bool give(steered_zone const& from, zone_id const& to, double part)
+    {
+        if (spare_.at(to) + negligible < part * traffic_ || part <= negligible) {
+            return false;
+        }
+        spare_.at(to) -= part * traffic_;
+        shares_[from.zone][to] += part;
+        return true;
+    }
+
+    /** @return zones in the order in which clients of @p from go there: nearer and emptier first.
+     */
+    [[nodiscard]] std::vector<zone_id> receivers(steered_zone const& from) const
+    {
+        std::vector<steered_zone const*> out;
+        for (steered_zone const& zone : zones_) {
+            if (spare_.at(zone.zone) > negligible) {
+                out.push_back(&zone);
             }
         }
+        std::sort(out.begin(), out.end(), [&](steered_zone const* a, steered_zone const* b) {
+            auto const rank = [&](steered_zone const* z) {
+                double const spare = spare_.at(z->zone);
+                bool const far = z->region != from.region;
+                return std::tuple(far, -spare, z->zone);
+            };
+            return rank(a) < rank(b);
+        });
+        std::vector<zone_id> names;
+        for (steered_zone const* zone : out) {
+            names.push_back(zone->zone);
+        }
+        return names;
     }
-    for (auto& [zone, shares] : out) {
-        double sum = 0;
-        for (auto const& [to, share] : shares) {
-            sum += share;
+
+    /** Divides @p left of the clients of @p from among the zones that have room. */
+    void divide(steered_zone const& from, double left)
+    {
+        for (zone_id const& to : receivers(from)) {
+            double const part = std::min(left, spare_.at(to) / traffic_);
+            if (give(from, to, part)) {
+                left -= part;
+            }
         }
-        for (auto& [to, share] : shares) {
-            share /= sum;
+        if (left > negligible) {
+            for (auto const& [zone, part] : fair_parts(zones_)) {
+                shares_[from.zone][zone] += left * part;
+            }
         }
     }
-    return out;
+
+    std::vector<steered_zone> const& zones_;
+    double traffic_; ///< of one client zone, as a share of all
+    std::map<zone_id, double> spare_;
+    std::map<zone_id, zone_shares> shares_;
+};
+
+} // namespace
+
+std::map<zone_id, zone_shares> wanted_shares(std::vector<steered_zone> const& zones)
+{
+    bool const none = std::none_of(zones.begin(), zones.end(), [](auto const& zone) {
+        return zone.usable && !zone.services.empty();
+    });
+    return none ? std::map<zone_id, zone_shares>{} : share_planner(zones).plan();
 }
 
-share_mover::share_mover(std::map<zone_id, region_id> regions, double cap)
-    : regions_(std::move(regions)), cap_(cap)
+share_mover::share_mover(std::map<zone_id, region_id> regions, double cap, mono_time started)
+    : regions_(std::move(regions)), cap_(cap), started_(started)
 {
 }
 
@@ -172,7 +205,7 @@
     moved_at_ = now;
     for (auto const& [zone, shares] : wanted) {
         auto const current = shares_.find(zone);
-        if (current == shares_.end()) {
+        if (current == shares_.end() || now < started_ + settle_time) {
             shares_[zone] = shares;
         }
         else {
--- a/src/directory/client_shares.h
+++ b/src/directory/client_shares.h
@@ -12,9 +12,9 @@
 /** Shares of zones, summing to 1. */
 using zone_shares = std::map<zone_id, double>;
 
-/** Slots of a service in a zone. */
+/** What a zone has for a service. */
 struct zone_capacity {
-    double slots = 0; ///< of targets that take work
+    double slots = 0; ///< of all targets but those that leave
     double busy = 0;  ///< slots in use, requests that wait included
 };
 
@@ -27,9 +27,10 @@
 };
 
 /**
- * Sends the clients of a zone home as far as its targets bear it and the rest to where most room
- * is, to few zones, since each zone has to keep the objects of all its clients warm.
- * Client zones count as equal: look-ups show no more of their traffic than that.
+ * Sends the clients of a zone home if its targets bear them, else all of them to one zone that
+ * does, the same region first: a zone has to keep the objects of all its clients warm, so clients
+ * are divided only where no zone bears them whole. Client zones count as equal: look-ups show no
+ * more of their traffic than that.
  * @return the shares of each client zone; empty when no zone is usable.
  */
 std::map<zone_id, zone_shares> wanted_shares(std::vector<steered_zone> const& zones);
@@ -37,8 +38,14 @@
 /** Moves shares towards what is wanted, within the cap on changes of region. */
 class share_mover {
 public:
-    /** @param cap share of a region's traffic that may change region within two seconds. */
-    share_mover(std::map<zone_id, region_id> regions, double cap);
+    /**
+     * @param cap share of a region's traffic that may change region within two seconds.
+     * @param started when this host started: what it wants then depends on the hosts that it has
+     * heard of, so shares count as in force only after settle_time.
+     */
+    share_mover(std::map<zone_id, region_id> regions, double cap, mono_time started);
+
+    static constexpr milliseconds settle_time{5000}; ///< until all hosts of a start were heard
 
     /** Moves as far as the time since the last call allows. */
     void move(std::map<zone_id, zone_shares> const& wanted, mono_time now);
@@ -53,6 +60,7 @@
 
     std::map<zone_id, region_id> regions_;
     double cap_;
+    mono_time started_;
     std::map<zone_id, zone_shares> shares_;
     mono_time moved_at_{};
 };
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -92,7 +92,7 @@
       target_follower_(timers, store_.targets, random_seed()),
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
-      shares_(settings_.regions, settings_.shift_cap)
+      shares_(settings_.regions, settings_.shift_cap, read_clocks().mono)
 {
     carrier_.attach(clients_);
 }
@@ -337,7 +337,8 @@
     own.targets_at = targets_.at();
     own.evacuations_at = evacuations_at_;
     for (service_load const& load : carrier_.loads()) {
-        own.loads.push_back({load.service, load.slots, load.busy, load.waiting});
+        own.loads.push_back(
+            {load.service, load.slots, load.listed, load.busy, load.waiting});
     }
     return own;
 }
@@ -517,7 +518,7 @@
         known->second = host.name;
         zone->second.services.clear();
         for (service_load_report const& load : host.loads) {
-            zone->second.services[load.service] = {load.slots, load.busy + load.waiting};
+            zone->second.services[load.service] = {load.listed, load.busy + load.waiting};
         }
     }
     std::vector<steered_zone> list;
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -23,6 +23,7 @@
         auto* const item = out.add_loads();
         item->set_service(load.service.value);
         item->set_slots(static_cast<float>(load.slots));
+        item->set_listed(static_cast<float>(load.listed));
         item->set_busy(static_cast<float>(load.busy));
         item->set_waiting(static_cast<std::uint32_t>(load.waiting));
     }
@@ -43,7 +44,7 @@
     report.targets_at = revision(in.targets_revision());
     report.evacuations_at = revision(in.evacuations_revision());
     for (wire::ServiceLoadReport const& item : in.loads()) {
-        report.loads.push_back({service_id(item.service()), item.slots(), item.busy(),
+        report.loads.push_back({service_id(item.service()), item.slots(), item.listed(), item.busy(),
                                 static_cast<int>(item.waiting())});
     }
     return report;
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -18,7 +18,8 @@
 /** What the targets of a zone carry of one service, as one host of the zone sees it. */
 struct service_load_report {
     service_id service;
-    double slots = 0;
+    double slots = 0;  ///< of targets that take work now
+    double listed = 0; ///< slots of all targets but those that leave
     double busy = 0;
     int waiting = 0;
 };
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -569,6 +569,10 @@
         service_load load;
         load.service = service;
         for (target_state const* const target : targets.own) {
+            bool const leaves = target->entry().phase == target_phase::leaving;
+            if (!leaves && !target->cold(now) && !evacuated_.contains(settings_.zone)) {
+                load.listed += target->entry().slots;
+            }
             if (target->accepts(now) && !target->cold(now) &&
                 !evacuated_.contains(settings_.zone)) {
                 load.slots += target->entry().slots;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -65,8 +65,9 @@
 /** What the targets of this host's zone carry of one service. */
 struct service_load {
     service_id service;
-    double slots = 0; ///< of targets that take work
-    double busy = 0;  ///< requests that they run
+    double slots = 0;  ///< of targets that take work now
+    double listed = 0; ///< slots of all targets but those that leave
+    double busy = 0;   ///< requests that they run
     int waiting = 0;  ///< requests that wait in this host
 };
 
