Let two hosts of a zone watch the store and tell the others; divide spare slots by a rule of its own

Change: all list at the start, then two hosts of each zone watch and push changes to their zone; gaps are closed by pulls.

--- a/src/directory/client_shares.cpp
+++ b/src/directory/client_shares.cpp
@@ -11,7 +11,7 @@
 /// that their objects stay warm in one zone, gained more than even loads did.
 constexpr double highest_load = 1.2;
 constexpr double least_load = 0.3;  ///< of the slots; differences below it mean nothing
-constexpr double load_weight = 0.0; ///< how strongly uneven loads move clients
+constexpr double load_weight = 0; ///< how strongly uneven loads move clients
 constexpr double negligible = 1e-6;
 
 /** Cached answers move late and together, so only part of the cap is planned for. */
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -28,14 +28,23 @@
     ask();
 }
 
-void follower::restart()
+void follower::set_active(bool active)
 {
+    if (active == active_) {
+        return;
+    }
+    active_ = active;
+    if (!listed_) {
+        return; // the list is under way, or is tried again
+    }
     timers_.cancel(next_);
-    if (asking_) {
+    if (active) {
+        ask();
+    }
+    else if (asking_) {
         calls_.abort();
+        asking_ = false;
     }
-    listed_ = false;
-    ask();
 }
 
 void follower::ask()
@@ -60,11 +69,8 @@
         failures_ = 0;
         set_reachable(true, "");
         at_ = std::max(at_, answer.at);
-        if (!listed_) {
-            listed_ = true;
-            ask();
-        }
-        else {
+        listed_ = true;
+        if (active_) {
             ask_after(gather_time);
         }
         break;
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -44,10 +44,14 @@
     follower(follower&&) = delete;
     follower& operator=(follower&&) = delete;
 
+    /** Lists once, active or not: a host that starts must not wait for others. */
     void start();
 
-    /** Ends the call under way and asks anew: others know more than this watch has brought. */
-    void restart();
+    /** Watches, or leaves it to others. */
+    void set_active(bool active);
+
+    /** @return whether the last call succeeded, or none was made. */
+    [[nodiscard]] bool reachable() const { return up_; }
 
 private:
     void ask();
@@ -59,6 +63,7 @@
     follow_calls calls_;
     random_engine random_;
     revision at_;
+    bool active_ = false;
     bool listed_ = false;
     bool up_ = true;
     bool asking_ = false;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -16,6 +16,10 @@
 constexpr unsigned http_version = 11;
 constexpr milliseconds answer_lifetime{2000}; ///< clients of a stopped host move on that soon
 constexpr std::size_t most_addresses = 64;    ///< that a look-up answer may hold
+/// Hosts of one start register within that time; then the list shows who follows the store.
+constexpr milliseconds list_wait{700};
+constexpr milliseconds first_duty_wait{1000};
+constexpr int followers_in_zone = 2; ///< one may fail without a gap
 constexpr milliseconds register_wait{500};    ///< between tries while the store fails
 constexpr milliseconds steer_interval{500};   ///< shares move in steps too small to notice
 constexpr milliseconds behind_patience{600};  ///< own watches mostly bring it within that time
@@ -23,8 +27,6 @@
 constexpr double stop_share = 0.4;  ///< of the grace: then clients' cached look-ups are over
 constexpr double exit_share = 0.97; ///< of the grace: the last moment for answers still due
 constexpr milliseconds exit_check{20};
-constexpr double spare_load = 0.8;  ///< of the slots: what a zone gives away ends there
-constexpr double granted_share = 0.5; ///< of the spare slots: reports are a second old
 
 std::uint64_t random_seed()
 {
@@ -92,7 +94,8 @@
       target_follower_(timers, store_.targets, random_seed()),
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
-      shares_(settings_.regions, settings_.shift_cap, read_clocks().mono)
+      shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
+      started_(read_clocks().mono)
 {
     carrier_.attach(clients_);
 }
@@ -100,25 +103,21 @@
 store_hooks entry_host::hooks()
 {
     store_hooks out;
-    out.config = [this](config_document document) { on_config(std::move(document)); };
+    out.config = [this](config_document document) {
+        bool const newer = !config_ || document.config.version > config_->config.version;
+        on_config(std::move(document));
+        if (newer) {
+            tell_zone(snapshot{config_->text, {}, {}});
+        }
+    };
     out.targets_listed = [this](std::vector<target_entry> const& entries, revision at) {
         targets_known_ = true;
         on_targets(targets_.replace(entries, at, read_clocks().mono));
     };
-    out.targets_changed = [this](std::vector<target_change> const& changes, revision at) {
-        if (at < targets_.at()) {
-            return; // a peer's newer list is in force
-        }
-        for (target_change const& change : changes) {
-            if (change.entry) {
-                targets_.put(*change.entry);
-            }
-            else {
-                targets_.remove(change.id, read_clocks().mono);
-            }
+    out.targets_changed = [this](target_changes const& changes) {
+        if (take(changes)) {
+            tell_zone(changes);
         }
-        targets_.advance(at);
-        on_targets(true);
     };
     out.evacuations_listed = [this](std::set<zone_id> const& zones, revision at) {
         if (at >= evacuations_at_) {
@@ -129,14 +128,17 @@
     };
     out.evacuations_changed = [this](std::vector<std::pair<zone_id, bool>> const& changes,
                                      revision at) {
-        if (at < evacuations_at_) {
+        if (at <= evacuations_at_) {
             return;
         }
         for (auto const& [zone, begun] : changes) {
             begun ? (void)evacuated_.insert(zone) : (void)evacuated_.erase(zone);
         }
         evacuations_at_ = at;
-        on_evacuations();
+        if (!changes.empty()) {
+            on_evacuations();
+        }
+        tell_zone(snapshot{{}, {}, evacuation_snapshot{evacuated_, evacuations_at_}});
     };
     out.hosts_listed = [this](std::vector<host_record> const& hosts) {
         for (host_record const& host : hosts) {
@@ -188,18 +190,25 @@
     }
     log_event("started", {{"zone", settings_.zone}, {"clients", settings_.client_address}});
     watch_signals();
-    start_following();
+    config_follower_.start();
+    target_follower_.start();
+    evacuation_follower_.start();
     register_self(0);
     timers_.every(host_view::tick_interval, [this] { tick(); });
     timers_.every(steer_interval, [this] { steer(read_clocks().mono); });
     return {};
 }
 
-void entry_host::start_following()
+/** Lets the first hosts of the zone follow the store; each call is paid for. */
+void entry_host::choose_followers(mono_time now)
 {
-    config_follower_.start();
-    target_follower_.start();
-    evacuation_follower_.start();
+    if (now < started_ + first_duty_wait) {
+        return; // the hosts of the zone are not known yet
+    }
+    bool const follows = view_.follows_store(followers_in_zone, now);
+    config_follower_.set_active(follows);
+    target_follower_.set_active(follows);
+    evacuation_follower_.set_active(follows);
 }
 
 void entry_host::register_self(int failures)
@@ -207,7 +216,7 @@
     host_record const self{node_id(settings_.name), zone_id(settings_.zone), settings_.ip};
     store_.register_host(self, [this, failures](bool done) {
         if (done) {
-            list_hosts(0);
+            timers_.once(started_ + list_wait, [this] { list_hosts(0); });
             return;
         }
         log_.event("register_failed", {{"failures", std::to_string(failures + 1)}},
@@ -336,6 +345,8 @@
     own.config_version = config_ ? config_->config.version : generation{};
     own.targets_at = targets_.at();
     own.evacuations_at = evacuations_at_;
+    own.store_lost = !config_follower_.reachable() || !target_follower_.reachable() ||
+                     !evacuation_follower_.reachable();
     for (service_load const& load : carrier_.loads()) {
         own.loads.push_back(
             {load.service, load.slots, load.listed, load.busy, load.waiting});
@@ -358,6 +369,7 @@
     }
     send(view_.tick(state(), now));
     report_peers(now);
+    choose_followers(now);
     pull_if_behind(view_.alive(now), now);
 }
 
@@ -368,45 +380,28 @@
                         rooms(serving)});
 }
 
-/**
- * Divides the spare slots of each other zone among the hosts outside it, so that all together
- * send no more than the zone gives away.
- */
 std::vector<remote_room> entry_host::rooms(std::vector<host_report> const& hosts) const
 {
-    std::map<zone_id, host_report const*> first; // the report of the first host of each zone
+    std::vector<zone_report> reports;
+    std::map<zone_id, node_id> reporters; // the first host of each zone speaks for its targets
     for (host_report const& host : hosts) {
-        auto const [known, fresh] = first.try_emplace(host.zone, &host);
-        if (!fresh && host.name < known->second->name) {
-            known->second = &host;
+        auto const [known, fresh] = reporters.try_emplace(host.zone, host.name);
+        if (!fresh && host.name < known->second) {
+            known->second = host.name;
         }
     }
-    std::vector<remote_room> out;
-    for (auto const& [zone, report] : first) {
-        if (zone == zone_id(settings_.zone)) {
-            continue;
-        }
-        for (service_load_report const& load : report->loads) {
-            double const spare = spare_load * load.slots - load.busy - load.waiting;
-            int const units = static_cast<int>(std::max(0.0, granted_share * spare));
-            int outside = 0;
-            int rank = 0;
-            auto const order = [&](node_id const& name) {
-                return stable_hash(name.value, stable_hash(zone.value));
-            };
-            auto const own = order(node_id(settings_.name));
-            for (host_report const& host : hosts) {
-                if (host.zone != zone) {
-                    ++outside;
-                    rank += order(host.name) < own ? 1 : 0;
-                }
-            }
-            outside = std::max(1, outside);
-            int const share = units / outside + (rank < units % outside ? 1 : 0);
-            if (share > 0) {
-                out.push_back({zone, load.service, share});
+    for (host_report const& host : hosts) {
+        zone_report report{host.name, host.zone, {}};
+        if (reporters.at(host.zone) == host.name) {
+            for (service_load_report const& load : host.loads) {
+                report.loads.push_back({load.service, load.slots, load.busy + load.waiting});
             }
         }
+        reports.push_back(std::move(report));
+    }
+    std::vector<remote_room> out;
+    for (granted_room const& room : divide_rooms(reports, node_id(settings_.name))) {
+        out.push_back({room.zone, room.service, room.requests});
     }
     return out;
 }
@@ -497,6 +492,39 @@
     }
 }
 
+/** Applies changes that this host's list has not seen. @return whether there were any. */
+bool entry_host::take(target_changes const& message)
+{
+    bool const fits = targets_known_ && message.from <= targets_.at();
+    if (!fits || message.to <= targets_.at()) {
+        return false; // a gap is closed by a pull
+    }
+    for (target_change const& change : message.changes) {
+        if (change.entry) {
+            targets_.put(*change.entry);
+        }
+        else {
+            targets_.remove(change.id, read_clocks().mono);
+        }
+    }
+    targets_.advance(message.to);
+    on_targets(!message.changes.empty());
+    return true;
+}
+
+void entry_host::on(target_changes const& message)
+{
+    take(message);
+}
+
+void entry_host::tell_zone(host_message const& message)
+{
+    std::string const bytes = encode_host_message(message);
+    for (std::string const& ip : view_.zone_ips(read_clocks().mono)) {
+        transport_.send(ip, bytes);
+    }
+}
+
 void entry_host::steer(mono_time now)
 {
     std::map<zone_id, steered_zone> zones;
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -2,6 +2,7 @@
 /** @file One entry host: takes requests, answers look-ups, follows the store, talks to its peers. */
 
 #include "directory/lookup.h"
+#include "directory/room_division.h"
 #include "host/host_settings.h"
 #include "host/request_carrier.h"
 #include "host/store_port.h"
@@ -48,7 +49,7 @@
 private:
     store_hooks hooks();
     store_port observed(store_port port);
-    void start_following();
+    void choose_followers(mono_time now);
     void register_self(int failures);
     void list_hosts(int failures);
     void watch_signals();
@@ -62,6 +63,9 @@
     void on(gossip const& message);
     void on(pull const& message);
     void on(snapshot const& message);
+    void on(target_changes const& message);
+    bool take(target_changes const& message);
+    void tell_zone(host_message const& message);
     void on_targets(bool changed);
     void on_evacuations();
 
@@ -101,6 +105,7 @@
     bool targets_known_ = false;
     share_mover shares_;
     std::map<zone_id, zone_shares> steered_;
+    mono_time started_;
     mono_time behind_since_ = mono_time::max();
     mono_time pulled_at_{};
     bool leaving_ = false;
--- a/src/host/store_port.h
+++ b/src/host/store_port.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "core/ids_type.h"
 #include "follow/follower.h"
+#include "peer/peer_message.h"
 #include "route/route_type.h"
 #include "traffic/target_type.h"
 
@@ -22,13 +23,6 @@
     routing_config config;
 };
 
-/** A change of the list of targets. */
-struct target_change {
-    target_id id;
-    bool removed = false;
-    std::optional<target_entry> entry; ///< nothing when removed or not understood
-};
-
 /** An entry host as it registered itself. */
 struct host_record {
     node_id name;
@@ -40,7 +34,7 @@
 struct store_hooks {
     std::function<void(config_document)> config;
     std::function<void(std::vector<target_entry>, revision)> targets_listed;
-    std::function<void(std::vector<target_change>, revision)> targets_changed;
+    std::function<void(target_changes)> targets_changed;
     std::function<void(std::set<zone_id>, revision)> evacuations_listed;
     std::function<void(std::vector<std::pair<zone_id, bool>>, revision)>
         evacuations_changed; ///< true: begun; false: taken back
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -63,6 +63,7 @@
     self_.targets_at = own.targets_at;
     self_.evacuations_at = own.evacuations_at;
     self_.loads = own.loads;
+    self_.store_lost = own.store_lost;
 }
 
 host_message host_view::zone_gossip() const
@@ -205,6 +206,34 @@
     return out;
 }
 
+bool host_view::follows_store(int most, mono_time now) const
+{
+    int before = 0;
+    int before_with_store = 0;
+    for (auto const& [name, host] : hosts_) {
+        // A host that was never heard may just be starting too.
+        bool const counts = is_alive(host, now) || !host.reported;
+        if (host.report.zone != self_.zone || !(name < self_.name) || !counts ||
+            host.report.leaving) {
+            continue;
+        }
+        ++before;
+        before_with_store += host.report.store_lost ? 0 : 1;
+    }
+    return before < most || before_with_store < most;
+}
+
+std::vector<std::string> host_view::zone_ips(mono_time now) const
+{
+    std::vector<std::string> out;
+    for (auto const& [name, host] : hosts_) {
+        if (host.report.zone == self_.zone && is_alive(host, now)) {
+            out.push_back(host.report.ip);
+        }
+    }
+    return out;
+}
+
 int host_view::serving_in_zone(mono_time now) const
 {
     int count = 0;
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -32,6 +32,7 @@
     revision targets_at;
     revision evacuations_at;
     std::vector<service_load_report> loads;
+    bool store_lost = false;
 };
 
 /**
@@ -68,6 +69,16 @@
     /** @return live hosts of this zone that take requests, this one included. */
     [[nodiscard]] int serving_in_zone(mono_time now) const;
 
+    /**
+     * @param most hosts of a zone that follow the store; the others hear from them.
+     * @return whether this host is one of them: by name among the zone's hosts, and besides in
+     * place of one that has lost the store.
+     */
+    [[nodiscard]] bool follows_store(int most, mono_time now) const;
+
+    /** @return the IPs of the other live hosts of this zone. */
+    [[nodiscard]] std::vector<std::string> zone_ips(mono_time now) const;
+
     static constexpr milliseconds tick_interval{250}; ///< between reports inside the zone
 
 private:
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -19,6 +19,7 @@
     out.set_config_version(report.config_version.value);
     out.set_targets_revision(report.targets_at.value);
     out.set_evacuations_revision(report.evacuations_at.value);
+    out.set_store_lost(report.store_lost);
     for (service_load_report const& load : report.loads) {
         auto* const item = out.add_loads();
         item->set_service(load.service.value);
@@ -43,6 +44,7 @@
     report.config_version = generation(in.config_version());
     report.targets_at = revision(in.targets_revision());
     report.evacuations_at = revision(in.evacuations_revision());
+    report.store_lost = in.store_lost();
     for (wire::ServiceLoadReport const& item : in.loads()) {
         report.loads.push_back({service_id(item.service()), item.slots(), item.listed(), item.busy(),
                                 static_cast<int>(item.waiting())});
@@ -115,6 +117,33 @@
     }
 }
 
+void write(wire::HostEnvelope& out, target_changes const& message)
+{
+    auto* const body = out.mutable_target_changes();
+    body->set_from_revision(message.from.value);
+    body->set_to_revision(message.to.value);
+    for (target_change const& change : message.changes) {
+        auto* const item = body->add_changes();
+        item->set_id(change.id.value);
+        if (change.entry) {
+            write(*item->mutable_entry(), *change.entry);
+        }
+    }
+}
+
+target_changes read(wire::TargetChanges const& in)
+{
+    target_changes message{revision(in.from_revision()), revision(in.to_revision()), {}};
+    for (wire::ListedTargetChange const& item : in.changes()) {
+        target_change change{target_id(item.id()), std::nullopt};
+        if (item.has_entry()) {
+            change.entry = read(item.entry());
+        }
+        message.changes.push_back(std::move(change));
+    }
+    return message;
+}
+
 gossip read(wire::HostGossip const& in)
 {
     gossip message;
@@ -170,6 +199,8 @@
                                  envelope.pull().targets(), envelope.pull().evacuations()});
     case wire::HostEnvelope::kSnapshot:
         return host_message(read(envelope.snapshot()));
+    case wire::HostEnvelope::kTargetChanges:
+        return host_message(read(envelope.target_changes()));
     default:
         return fail("peer.decode", peer, "unknown kind of message");
     }
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -38,6 +38,7 @@
     revision targets_at;
     revision evacuations_at;
     std::vector<service_load_report> loads;
+    bool store_lost = false; ///< its calls to the platform's store fail
 };
 
 /** Reports of some hosts. */
@@ -74,7 +75,20 @@
     std::optional<evacuation_snapshot> evacuations;
 };
 
-using host_message = std::variant<gossip, pull, snapshot>;
+/** A change of the list of targets. */
+struct target_change {
+    target_id id;
+    std::optional<target_entry> entry; ///< nothing when it was removed or names no target
+};
+
+/** Changes of the list of targets, in order, for those who have it at `from` or later. */
+struct target_changes {
+    revision from;
+    revision to;
+    std::vector<target_change> changes;
+};
+
+using host_message = std::variant<gossip, pull, snapshot, target_changes>;
 
 /** @return the wire form of @p message. */
 std::string encode_host_message(host_message const& message);
