Recognize comebacks by client and object; hold late requests for a quarter of their time

Cause: comebacks were told by a shorter deadline, but deadlines of first tries differ too, so nearly every request counted as a comeback (a trial printed it) and as late.

--- a/src/host/request_carrier.cpp
+++ b/src/host/request_carrier.cpp
@@ -115,6 +115,7 @@
     auto const deadline = read_int(text_of(request[names_.deadline]));
     request_arrived event{request_id(call.value), route, open.service,
                           object_key(text_of(request[names_.object])),
+                          server_->client_of(call),
                           deadline ? milliseconds(*deadline) : route->timeout};
     remove_hop_fields(request);
     request.erase(http::field::expect);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -9,12 +9,10 @@
 constexpr milliseconds give_up_slack{60}; ///< for the target's own answer at the deadline to come
 constexpr double warm_weight = 0.05;      ///< of a sample of how often first targets are warm
 constexpr double first_hit_start = 0.5;   ///< nothing is known of the other hosts' requests yet
-constexpr milliseconds came_back_after{30}; ///< shorter deadlines than that much: a comeback
 
-/// A comeback shows its age by the deadline, which the same client's first try had in full.
-milliseconds spent_before(milliseconds longest, milliseconds deadline)
+repeated_request identity_of(pending_request const& request)
 {
-    return longest > deadline + came_back_after ? longest - deadline : milliseconds{0};
+    return {request.client, request.route->name.value, request.object};
 }
 
 double as_ms(microseconds time)
@@ -39,8 +37,6 @@
 
 void traffic::on(request_arrived const& event)
 {
-    milliseconds& longest = longest_deadlines_[event.route->name];
-    longest = std::max(longest, event.deadline);
     pending_request request;
     request.id = event.id;
     request.route = event.route;
@@ -48,8 +44,12 @@
     request.object = event.object;
     request.arrived = now_;
     request.expires = now_ + std::min(event.deadline, event.route->timeout);
-    request.spent_before = spent_before(longest, event.deadline);
-    request.came_back = request.spent_before > milliseconds{0};
+    request.deadline = now_ + event.deadline;
+    request.client = event.client;
+    if (auto const began = refused_.take(identity_of(request), now_)) {
+        request.came_back = true;
+        request.spent_before = now_ - *began;
+    }
     budget_.count_request(event.service, now_);
     auto const added = requests_.emplace(event.id, std::move(request)).first;
     queues_[event.service].push_back(event.id);
@@ -300,6 +300,10 @@
         reason = refusal::lost_answer;
     }
     auto const left = std::chrono::duration_cast<milliseconds>(request.expires - now_);
+    if (reason == refusal::no_room || reason == refusal::no_target) {
+        refused_.add(identity_of(request), request.arrived - request.spent_before,
+                     request.deadline);
+    }
     effects_.push_back(
         answer_self{id, reason, come_back_.next(until_room, std::max(left, milliseconds{0})),
                     request.attempts,
@@ -500,12 +504,13 @@
 
 /**
  * Under overload, what still meets its objective waits; the rest goes to another zone that gave
- * room, waits a moment if it may not come back, or is refused at once.
+ * room, waits for a part of its time if it can be served then, or is refused at once.
  */
 void traffic::wait_or_refuse(pending_request& request, placing_turn& turn,
                              placement_option const* waits_for)
 {
-    constexpr int hold_divisor = 8; // a refusal within an eighth of the objective costs nobody time
+    // Refused sooner, clients came back twice as often; later, they had no time to come back.
+    constexpr double held_share = 0.25;
     double const spent = as_ms(now_ - request.arrived + request.spent_before);
     double const objective = static_cast<double>(request.route->objective.count());
     double const wait = waits_for == nullptr ? 0 : waits_for->wait_ms;
@@ -530,8 +535,7 @@
     }
     double const left = as_ms(request.expires - now_);
     double const held = as_ms(now_ - request.arrived);
-    double const hold = request.came_back || request.attempts > 0 ? (left + held) / 2
-                                                                  : objective / hold_divisor;
+    double const hold = (left + held) * held_share;
     if (need <= left && held + wait < hold) {
         keep_waiting();
         return;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -3,6 +3,7 @@
 
 #include "traffic/come_back.h"
 #include "traffic/placement.h"
+#include "traffic/refused_requests.h"
 #include "traffic/repeat_budget.h"
 #include "traffic/target_state.h"
 #include "traffic/traffic_effect.h"
@@ -28,7 +29,9 @@
     object_key object;
     mono_time arrived;
     mono_time expires;          ///< the client's deadline or the route's timeout
-    milliseconds spent_before{}; ///< on earlier tries of the client, as far as the deadline shows
+    microseconds spent_before{}; ///< since the client's first try arrived, if it came back
+    mono_time deadline;          ///< of the client
+    std::string client;
     int attempts = 0;
     bool came_back = false;
     bool may_have_run = false;
@@ -137,7 +140,7 @@
     std::set<zone_id> evacuated_;
     std::map<request_id, pending_request> requests_;
     std::map<service_id, std::vector<request_id>> queues_;
-    std::map<route_id, milliseconds> longest_deadlines_; ///< seen so far
+    refused_requests refused_;
     std::map<std::pair<zone_id, service_id>, int> rooms_;
     std::map<zone_id, moving_mean> way_ms_; ///< there and back, from connection times
     std::map<service_id, warm_window> windows_;
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -22,6 +22,7 @@
     std::shared_ptr<route_config const> route;
     service_id service; ///< the part of the route that takes it
     object_key object;
+    std::string client;      ///< tells clients apart, for example the IP
     milliseconds deadline{}; ///< how long the client waits from now on
 };
 
