Weigh a request only against those that come before it; tests of the entry host's libraries

Found by the new tests: an urgent request was refused for the queue of less urgent ones; waits counted as nothing before the first answer; a dead host's report, passed on by its zone, kept it in look-ups of other zones for 5.7 s instead of 3.7 s.

--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -66,11 +66,12 @@
     self_.store_lost = own.store_lost;
 }
 
-host_message host_view::zone_gossip() const
+host_message host_view::zone_gossip(mono_time now) const
 {
     gossip message{self_.name, {self_}, false};
     for (auto const& [name, host] : hosts_) {
-        if (host.reported && host.report.zone == self_.zone) {
+        // A dead host's last report would look like a sign of life to who has an older one.
+        if (is_alive(host, now) && host.report.zone == self_.zone) {
             message.reports.push_back(host.report);
         }
     }
@@ -106,7 +107,7 @@
             zones[host.report.zone].push_back(&host);
         }
     }
-    host_message const message = zone_gossip();
+    host_message const message = zone_gossip(now);
     for (auto const& [zone, hosts] : zones) {
         out.push_back({hosts[random_below(random_, hosts.size())]->report.ip, message});
     }
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -85,8 +85,8 @@
     [[nodiscard]] bool is_alive(known_host const& host, mono_time now) const;
     [[nodiscard]] bool is_speaker(mono_time now) const;
     void refresh_self(own_state const& own);
-    host_message zone_gossip() const;
-    host_message whole_gossip(mono_time now, bool answer_wanted) const;
+    [[nodiscard]] host_message zone_gossip(mono_time now) const;
+    [[nodiscard]] host_message whole_gossip(mono_time now, bool answer_wanted) const;
     void tell_zone(host_effects& out, mono_time now);
     void tell_other_zones(host_effects& out, mono_time now);
     void tell_strangers(host_effects& out, mono_time now);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -53,7 +53,7 @@
     budget_.count_request(event.service, now_);
     auto const added = requests_.emplace(event.id, std::move(request)).first;
     queues_[event.service].push_back(event.id);
-    placing_turn turn = begin_turn(event.service);
+    placing_turn turn = begin_turn(event.service, &added->second);
     place(added->second, turn);
 }
 
@@ -374,8 +374,11 @@
     return std::max(1.0, rate / hosts_in_zone_);
 }
 
-/** Surveys the targets of this zone once for all requests that are placed now. */
-placing_turn traffic::begin_turn(service_id const& service)
+/**
+ * Surveys the targets of this zone once for all requests that are placed now.
+ * @param newcomer placed alone: those that wait count if they come before it.
+ */
+placing_turn traffic::begin_turn(service_id const& service, pending_request const* newcomer)
 {
     placing_turn turn;
     double slots = 0;
@@ -392,7 +395,11 @@
     }
     auto const& queue = queues_[service];
     for (request_id const& id : queue) {
-        target_state const* const waited_for = requests_.at(id).waits_for;
+        pending_request const& other = requests_.at(id);
+        target_state const* const waited_for = other.waits_for;
+        if (waited_for == nullptr || (newcomer != nullptr && !comes_before(other, *newcomer))) {
+            continue;
+        }
         for (placement_candidate& candidate : turn.own) {
             candidate.queued += candidate.target == waited_for ? 1 : 0;
         }
@@ -432,10 +439,11 @@
                                             std::vector<std::size_t> const& ranks)
 {
     auto const hits = first_hits_.try_emplace(request.service, warm_weight, first_hit_start).first;
+    double const mean = times_.mean(request.service);
     placement_query const query{*request.route,
                                 request.object,
                                 turn.load_price,
-                                times_.mean(request.service),
+                                mean > 0 ? mean : times_.of(*request.route).expected(0),
                                 windows_[request.service].length(),
                                 hits->second.value()};
     auto options = rank_targets(query, times_.of(*request.route), candidates, ranks);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -108,7 +108,8 @@
     void after_failure(pending_request& request, attempt_ended const& event);
     bool retry(pending_request& request);
     void pump(service_id const& service);
-    placing_turn begin_turn(service_id const& service);
+    placing_turn begin_turn(service_id const& service,
+                            pending_request const* newcomer = nullptr);
     void survey_remote(placing_turn& turn, service_id const& service);
     void place(pending_request& request, placing_turn& turn);
     std::vector<placement_option> own_options(pending_request& request, placing_turn& turn);
--- /dev/null
+++ b/tests/directory_test.cpp
@@ -0,0 +1,218 @@
+#include "directory/client_shares.h"
+#include "directory/lookup.h"
+#include "directory/room_division.h"
+
+#include <cmath>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cove {
+namespace {
+
+constexpr double exact = 1e-9;
+
+steered_zone zone(std::string name, std::string region, double slots, bool usable = true)
+{
+    steered_zone out;
+    out.zone = zone_id(std::move(name));
+    out.region = region_id(std::move(region));
+    out.usable = usable;
+    out.services[service_id("desk")] = {slots, 0};
+    return out;
+}
+
+double sum_of(zone_shares const& shares)
+{
+    double sum = 0;
+    for (auto const& [name, share] : shares) {
+        sum += share;
+    }
+    return sum;
+}
+
+TEST(wanted_shares, keeps_clients_home_when_all_zones_are_alike)
+{
+    auto const shares = wanted_shares({zone("a", "r", 8), zone("b", "r", 8), zone("c", "s", 8)});
+    for (auto const& [client, to] : shares) {
+        EXPECT_EQ(to.size(), 1U);
+        EXPECT_NEAR(to.at(client), 1, exact);
+    }
+}
+
+TEST(wanted_shares, sends_the_excess_of_a_small_zone_to_its_own_region_first)
+{
+    auto const shares =
+        wanted_shares({zone("small", "r", 2), zone("near", "r", 12), zone("far", "s", 12)});
+    EXPECT_GT(shares.at(zone_id("small")).at(zone_id("near")), 0);
+    EXPECT_GT(shares.at(zone_id("small")).at(zone_id("small")), 0);
+}
+
+TEST(wanted_shares, sends_nobody_to_a_zone_without_hosts_or_targets)
+{
+    auto const shares = wanted_shares(
+        {zone("dead", "r", 8, false), zone("empty", "r", 0), zone("a", "s", 8), zone("b", "s", 8)});
+    ASSERT_EQ(shares.size(), 4U);
+    for (auto const& [client, to] : shares) {
+        EXPECT_FALSE(to.contains(zone_id("dead")));
+        EXPECT_FALSE(to.contains(zone_id("empty")));
+        EXPECT_NEAR(sum_of(to), 1, exact);
+    }
+    EXPECT_TRUE(wanted_shares({zone("dead", "r", 8, false)}).empty());
+}
+
+RC_GTEST_PROP(wanted_shares, load_no_zone_beyond_its_part, ())
+{
+    auto const slots = *rc::gen::container<std::vector<int>>(6, rc::gen::inRange(1, 40));
+    std::vector<steered_zone> zones;
+    double total = 0;
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        zones.push_back(zone(std::to_string(i), std::to_string(i / 2), slots[i]));
+        total += slots[i];
+    }
+    constexpr double planned_load = 1.2; // relative to the mean
+    std::map<zone_id, double> carried;
+    for (auto const& [client, to] : wanted_shares(zones)) {
+        RC_ASSERT(std::abs(sum_of(to) - 1) < 1e-6);
+        for (auto const& [name, share] : to) {
+            carried[name] += share / static_cast<double>(zones.size());
+        }
+    }
+    for (steered_zone const& each : zones) {
+        double const part = each.services.at(service_id("desk")).slots / total;
+        RC_ASSERT(carried[each.zone] <= planned_load * part + 1e-6);
+    }
+}
+
+/** Shares by region of a client zone. */
+std::map<std::string, double> regions_of(zone_shares const& shares,
+                                         std::map<zone_id, region_id> const& regions)
+{
+    std::map<std::string, double> out;
+    for (auto const& [name, share] : shares) {
+        out[regions.at(name).value] += share;
+    }
+    return out;
+}
+
+TEST(share_mover, keeps_changes_of_region_under_the_cap)
+{
+    std::map<zone_id, region_id> const regions{
+        {zone_id("a"), region_id("r")}, {zone_id("b"), region_id("r")}, {zone_id("c"), region_id("s")}};
+    constexpr double cap = 0.15;
+    mono_time const start{};
+    share_mover mover(regions, cap, start);
+    mono_time now = start + share_mover::settle_time;
+    zone_id const client("a");
+    mover.move({{client, {{zone_id("a"), 1.0}}}}, now - milliseconds{1});
+    std::vector<double> far;
+    for (int step = 0; step < 100; ++step) {
+        now += milliseconds{500};
+        mover.move({{client, {{zone_id("c"), 1.0}}}}, now);
+        far.push_back(regions_of(mover.shares_of(client), regions)["s"]);
+    }
+    constexpr std::size_t steps_of_two_seconds = 4;
+    for (std::size_t i = 0; i + steps_of_two_seconds < far.size(); ++i) {
+        EXPECT_LE(far[i + steps_of_two_seconds] - far[i], cap);
+    }
+    EXPECT_NEAR(far.back(), 1, exact);
+}
+
+TEST(share_mover, moves_at_once_within_a_region)
+{
+    std::map<zone_id, region_id> const regions{{zone_id("a"), region_id("r")},
+                                               {zone_id("b"), region_id("r")}};
+    mono_time const start{};
+    share_mover mover(regions, 0.15, start);
+    mono_time const now = start + share_mover::settle_time;
+    mover.move({{zone_id("a"), {{zone_id("a"), 1.0}}}}, now);
+    mover.move({{zone_id("a"), {{zone_id("b"), 1.0}}}}, now + milliseconds{100});
+    EXPECT_NEAR(mover.shares_of(zone_id("a")).at(zone_id("b")), 1, exact);
+}
+
+TEST(share_mover, takes_any_shares_while_a_start_settles)
+{
+    // A host that has heard of itself alone sends everybody to its own zone; that must not last.
+    std::map<zone_id, region_id> const regions{{zone_id("a"), region_id("r")},
+                                               {zone_id("c"), region_id("s")}};
+    mono_time const start{};
+    share_mover mover(regions, 0.15, start);
+    mover.move({{zone_id("a"), {{zone_id("c"), 1.0}}}}, start + milliseconds{500});
+    mover.move({{zone_id("a"), {{zone_id("a"), 1.0}}}}, start + milliseconds{1000});
+    EXPECT_NEAR(mover.shares_of(zone_id("a")).at(zone_id("a")), 1, exact);
+}
+
+std::vector<directory_host> hosts()
+{
+    return {{zone_id("a"), region_id("r"), "10.0.0.1:80"},
+            {zone_id("a"), region_id("r"), "10.0.0.2:80"},
+            {zone_id("b"), region_id("s"), "10.0.1.1:80"}};
+}
+
+TEST(choose_hosts, follows_the_shares_and_keeps_a_client_in_its_zone)
+{
+    zone_shares const shares{{zone_id("a"), 0.7}, {zone_id("b"), 0.3}};
+    zone_shares const moved{{zone_id("a"), 0.6}, {zone_id("b"), 0.4}};
+    int in_a = 0;
+    int changed = 0;
+    constexpr int clients = 4000;
+    for (int i = 0; i < clients; ++i) {
+        lookup_query const query{zone_id("a"), "100.64.0." + std::to_string(i), {}};
+        auto const first = choose_hosts(query, shares, hosts(), 64);
+        EXPECT_EQ(first, choose_hosts(query, shares, hosts(), 64));
+        in_a += first.size() == 2 ? 1 : 0;
+        changed += first != choose_hosts(query, moved, hosts(), 64) ? 1 : 0;
+    }
+    EXPECT_NEAR(static_cast<double>(in_a) / clients, 0.7, 0.03);
+    EXPECT_NEAR(static_cast<double>(changed) / clients, 0.1, 0.03); // no more than the shares moved
+}
+
+TEST(choose_hosts, leaves_zones_without_hosts_and_regions_that_may_not_be_named)
+{
+    zone_shares const shares{{zone_id("a"), 0.5}, {zone_id("gone"), 0.5}};
+    lookup_query query{zone_id("gone"), "c", {}};
+    EXPECT_EQ(choose_hosts(query, shares, hosts(), 64).size(), 2U);
+    query.regions = {region_id("s")};
+    EXPECT_EQ(choose_hosts(query, shares, hosts(), 64), std::vector<std::string>{"10.0.1.1:80"});
+    query.regions = {region_id("nowhere")};
+    EXPECT_TRUE(choose_hosts(query, shares, hosts(), 64).empty());
+    EXPECT_EQ(choose_hosts({zone_id("a"), "c", {}}, {}, hosts(), 1).size(), 1U);
+}
+
+RC_GTEST_PROP(divide_rooms, gives_all_hosts_together_no_more_than_is_spare, ())
+{
+    auto const loads = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        4, rc::gen::pair(rc::gen::inRange(0, 60), rc::gen::inRange(0, 60)));
+    std::vector<zone_report> reports;
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+        zone_id const name(std::to_string(i));
+        reports.push_back({node_id(name.value + "-1"), name,
+                           {{service_id("desk"), static_cast<double>(loads[i].first),
+                             static_cast<double>(loads[i].second)}}});
+        reports.push_back({node_id(name.value + "-2"), name, {}});
+    }
+    std::map<zone_id, int> given;
+    for (zone_report const& host : reports) {
+        for (granted_room const& room : divide_rooms(reports, host.host)) {
+            RC_ASSERT(room.zone != host.zone);
+            given[room.zone] += room.requests;
+        }
+    }
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+        int const spare = std::max(0, loads[i].first - loads[i].second);
+        RC_ASSERT(given[zone_id(std::to_string(i))] <= spare);
+    }
+}
+
+TEST(divide_rooms, gives_room_to_a_zone_without_targets)
+{
+    std::vector<zone_report> const reports{
+        {node_id("a-1"), zone_id("a"), {{service_id("desk"), 0, 5}}},
+        {node_id("b-1"), zone_id("b"), {{service_id("desk"), 40, 4}}}};
+    auto const rooms = divide_rooms(reports, node_id("a-1"));
+    ASSERT_EQ(rooms.size(), 1U);
+    EXPECT_EQ(rooms[0].zone, zone_id("b"));
+    EXPECT_EQ(rooms[0].requests, 14); // half of 0.8 * 40 - 4
+}
+
+} // namespace
+} // namespace cove
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,335 @@
+#include "http/exchange.h"
+#include "http/forwarding.h"
+#include "http/server.h"
+#include "support/free_port.h"
+#include "support/scripted_server.h"
+
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+namespace http = boost::beast::http;
+
+http_request get(std::string const& target)
+{
+    http_request request(http::verb::get, target, 11);
+    request.set(http::field::host, "desk.example");
+    request.set("Attempt", "a1");
+    return request;
+}
+
+response_match by_attempt(http_response const& response)
+{
+    return response["Attempt"] == "a1" ? response_match::mine : response_match::foreign;
+}
+
+struct answer_case {
+    char const* name;
+    scripted_answer answer;
+    exchange_end end;
+    std::string body;
+    bool usable; ///< the connection carries another request
+};
+
+class exchange_answers : public testing::TestWithParam<answer_case> {};
+
+TEST_P(exchange_answers, are_told_apart)
+{
+    boost::asio::io_context loop;
+    scripted_server server(loop, [](std::string const&) { return GetParam().answer; });
+    auto const connection =
+        std::make_shared<exchange_connection>(loop, server.endpoint(), exchange_limits{});
+    std::optional<exchange_result> got;
+    connection->exchange(get("/a"), by_attempt,
+                         [&](exchange_result result) { got = std::move(result); });
+    ASSERT_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    loop.restart();
+    loop.run_for(milliseconds{20}); // bytes that follow the answer arrive
+    EXPECT_EQ(got->end, GetParam().end) << got->detail;
+    EXPECT_EQ(got->response.body(), GetParam().body);
+    EXPECT_EQ(connection->usable(), GetParam().usable);
+}
+
+std::string const whole = "HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 4\r\n\r\nbody";
+std::string const foreign = "HTTP/1.1 200 OK\r\nAttempt: z9\r\nContent-Length: 3\r\n\r\nold";
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, exchange_answers,
+    testing::Values(
+        answer_case{"whole", {whole, after_bytes::keep}, exchange_end::answered, "body", true},
+        answer_case{"late_answer_to_another_request",
+                    {foreign + whole, after_bytes::keep},
+                    exchange_end::answered,
+                    "body",
+                    true},
+        answer_case{"bytes_after_the_answer",
+                    {whole + "more", after_bytes::keep},
+                    exchange_end::answered,
+                    "body",
+                    false},
+        answer_case{"second_answer",
+                    {whole + foreign, after_bytes::keep},
+                    exchange_end::answered,
+                    "body",
+                    false},
+        answer_case{"truncated",
+                    {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 9\r\n\r\nbody",
+                     after_bytes::close},
+                    exchange_end::broken,
+                    "",
+                    false},
+        answer_case{"without_length_ended_by_close",
+                    {"HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\nbody", after_bytes::close},
+                    exchange_end::answered,
+                    "body",
+                    false},
+        answer_case{"without_length_ended_by_reset",
+                    {"HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\nbody", after_bytes::reset},
+                    exchange_end::broken,
+                    "",
+                    false},
+        answer_case{"chunked",
+                    {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                     after_bytes::keep},
+                    exchange_end::answered,
+                    "body",
+                    true},
+        answer_case{"chunks_cut_short",
+                    {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n4\r\nbody\r\n",
+                     after_bytes::close},
+                    exchange_end::broken,
+                    "",
+                    false},
+        answer_case{"no_http", {"garbage\r\n\r\n", after_bytes::keep}, exchange_end::broken, "", false},
+        answer_case{"closed_unanswered", {"", after_bytes::close}, exchange_end::broken, "", false},
+        answer_case{"announced_close",
+                    {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nConnection: close\r\nContent-Length: "
+                     "4\r\n\r\nbody",
+                     after_bytes::keep},
+                    exchange_end::answered,
+                    "body",
+                    false}),
+    [](auto const& info) { return info.param.name; });
+
+TEST(exchange, says_that_nothing_was_sent_when_there_is_no_listener)
+{
+    boost::asio::io_context loop;
+    http_endpoint const nobody(boost::asio::ip::make_address("127.0.0.1"),
+                               static_cast<std::uint16_t>(free_port()));
+    auto const connection = std::make_shared<exchange_connection>(loop, nobody, exchange_limits{});
+    std::optional<exchange_result> got;
+    connection->exchange(get("/a"), nullptr,
+                         [&](exchange_result result) { got = std::move(result); });
+    ASSERT_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    EXPECT_EQ(got->end, exchange_end::connect_failed);
+}
+
+TEST(exchange, calls_nobody_after_close)
+{
+    boost::asio::io_context loop;
+    scripted_server server(loop, [](std::string const&) {
+        return scripted_answer{"", after_bytes::keep}; // never answers
+    });
+    auto const connection =
+        std::make_shared<exchange_connection>(loop, server.endpoint(), exchange_limits{});
+    bool called = false;
+    connection->exchange(get("/a"), by_attempt, [&](exchange_result const&) { called = true; });
+    ASSERT_TRUE(run_until(loop, [&] { return connection->connected(); }));
+    connection->close();
+    EXPECT_TRUE(run_until(loop, [&] { return server.closed_by_peer == 1; }));
+    EXPECT_FALSE(called);
+}
+
+TEST(forwarding, drops_what_concerns_one_connection)
+{
+    http_request request = get("/a");
+    request.set(http::field::connection, "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-End", "1");
+    request.set(http::field::keep_alive, "timeout=5");
+    request.set(http::field::transfer_encoding, "chunked");
+    remove_hop_fields(request);
+    EXPECT_EQ(request.count("X-Hop"), 0U);
+    EXPECT_EQ(request.count(http::field::connection), 0U);
+    EXPECT_EQ(request.count(http::field::keep_alive), 0U);
+    EXPECT_EQ(request.count(http::field::transfer_encoding), 0U);
+    EXPECT_EQ(request["X-End"], "1");
+}
+
+/** A server on a free port and a plain client socket. */
+class server_case : public testing::Test {
+protected:
+    server_case()
+        : timers(loop), server(loop, timers,
+                               {[this](call_id call, http_request request) {
+                                    calls.push_back(call);
+                                    requests.push_back(std::move(request));
+                                },
+                                [this](call_id) { ++left; }}),
+          client(loop)
+    {
+        int const port = free_port();
+        EXPECT_TRUE(server.start("127.0.0.1:" + std::to_string(port)).has_value());
+        client.connect({boost::asio::ip::make_address("127.0.0.1"),
+                        static_cast<std::uint16_t>(port)});
+        client.non_blocking(true);
+    }
+
+    void send(std::string const& bytes) { boost::asio::write(client, boost::asio::buffer(bytes)); }
+
+    /** @return what the client has received so far. */
+    std::string const& received()
+    {
+        char buffer[4096];
+        boost::system::error_code error;
+        auto const size = client.read_some(boost::asio::buffer(buffer), error);
+        text.append(buffer, size);
+        ended = ended || error == boost::asio::error::eof;
+        return text;
+    }
+
+    bool wait_for(std::string const& part)
+    {
+        return run_until(loop, [&] { return received().find(part) != std::string::npos; });
+    }
+
+    boost::asio::io_context loop;
+    loop_timers timers;
+    std::vector<call_id> calls;
+    std::vector<http_request> requests;
+    int left = 0;
+    http_server server;
+    boost::asio::ip::tcp::socket client;
+    std::string text;
+    bool ended = false;
+};
+
+TEST_F(server_case, passes_the_target_on_byte_by_byte)
+{
+    send("PUT /a%2Fb//c/?q=%41&x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz");
+    ASSERT_TRUE(run_until(loop, [&] { return !calls.empty(); }));
+    EXPECT_EQ(requests[0].target(), "/a%2Fb//c/?q=%41&x");
+    EXPECT_EQ(requests[0].method_string(), "PUT");
+    EXPECT_EQ(requests[0].body(), "xyz");
+}
+
+TEST_F(server_case, reads_chunked_bodies_and_keeps_the_connection)
+{
+    send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    ASSERT_TRUE(run_until(loop, [&] { return !calls.empty(); }));
+    EXPECT_EQ(requests[0].body(), "abc");
+    server.respond(calls[0], http_response(http::status::ok, 11));
+    ASSERT_TRUE(wait_for("200 OK"));
+    send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(run_until(loop, [&] { return calls.size() == 2; }));
+}
+
+struct bad_request_case {
+    char const* name;
+    char const* bytes;
+    char const* status;
+};
+
+class server_refusals : public server_case, public testing::WithParamInterface<bad_request_case> {};
+
+TEST_P(server_refusals, name_what_is_wrong)
+{
+    server_limits limits;
+    limits.header_bytes = 512;
+    limits.body_bytes = 8;
+    server.set_limits(limits);
+    // The connection under way took the limits before; a second one has the new ones.
+    auto const endpoint = client.remote_endpoint();
+    client = boost::asio::ip::tcp::socket(loop);
+    client.connect(endpoint);
+    client.non_blocking(true);
+    send(GetParam().bytes);
+    EXPECT_TRUE(wait_for(GetParam().status)) << text;
+    EXPECT_TRUE(calls.empty());
+    EXPECT_TRUE(run_until(loop, [&] {
+        received();
+        return ended;
+    }));
+}
+
+std::string const long_header =
+    "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, server_refusals,
+    testing::Values(
+        bad_request_case{"header_too_long", long_header.c_str(), " 431 "},
+        bad_request_case{"body_too_long",
+                         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n", " 413 "},
+        bad_request_case{"not_http", "nonsense\r\n\r\n", " 400 "},
+        bad_request_case{"two_lengths",
+                         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: "
+                         "2\r\n\r\n",
+                         " 400 "},
+        bad_request_case{"length_and_chunks",
+                         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: "
+                         "chunked\r\n\r\n",
+                         " 400 "}),
+    [](auto const& info) { return info.param.name; });
+
+TEST_F(server_case, tells_when_the_client_leaves)
+{
+    send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(run_until(loop, [&] { return !calls.empty(); }));
+    client.close();
+    EXPECT_TRUE(run_until(loop, [&] { return left == 1; }, milliseconds{500}));
+    server.respond(calls[0], http_response(http::status::ok, 11)); // too late, and no harm
+}
+
+TEST_F(server_case, ends_connections_with_their_answer_when_it_closes)
+{
+    send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(run_until(loop, [&] { return !calls.empty(); }));
+    server.close_after_answers();
+    server.stop_accepting();
+    server.close_idle(); // the call under way is not idle
+    http_response response(http::status::ok, 11);
+    response.body() = "whole answer";
+    server.respond(calls[0], std::move(response));
+    ASSERT_TRUE(wait_for("whole answer"));
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    client.close();
+    EXPECT_TRUE(run_until(loop, [&] { return server.connections() == 0; }));
+}
+
+TEST_F(server_case, ends_a_header_that_takes_too_long)
+{
+    server_limits limits;
+    limits.header_time = milliseconds{100};
+    server.set_limits(limits);
+    send("GET /a HT");
+    EXPECT_TRUE(run_until(loop, [&] {
+        received();
+        return ended;
+    }));
+    EXPECT_TRUE(calls.empty());
+}
+
+TEST(loop_timers, calls_in_order_and_not_after_cancel)
+{
+    boost::asio::io_context loop;
+    loop_timers timers(loop);
+    std::string order;
+    mono_time const now = read_clocks().mono;
+    timers.once(now + milliseconds{20}, [&] { order += "b"; });
+    timers.once(now + milliseconds{5}, [&] { order += "a"; });
+    auto const never = timers.once(now + milliseconds{10}, [&] { order += "x"; });
+    timers.cancel(never);
+    auto const often = timers.every(milliseconds{8}, [&] { order += "."; });
+    EXPECT_TRUE(run_until(loop, [&] { return order.find('b') != std::string::npos; }));
+    timers.cancel(often);
+    EXPECT_EQ(order.find('x'), std::string::npos);
+    EXPECT_LT(order.find('a'), order.find('b'));
+    EXPECT_NE(order.find('.'), std::string::npos);
+}
+
+} // namespace
+} // namespace cove
--- /dev/null
+++ b/tests/route_test.cpp
@@ -0,0 +1,108 @@
+#include "route/part_choice.h"
+#include "route/route_table.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cove {
+namespace {
+
+route_config route(std::string name, std::string host, std::string prefix,
+                   std::vector<region_id> homes = {})
+{
+    route_config out;
+    out.name = route_id(std::move(name));
+    out.host = std::move(host);
+    out.path_prefix = std::move(prefix);
+    out.parts = {{service_id("desk"), 1}};
+    out.home_regions = std::move(homes);
+    return out;
+}
+
+struct find_case {
+    char const* host;
+    char const* path;
+    char const* route; ///< empty: none
+};
+
+class route_finds : public testing::TestWithParam<find_case> {};
+
+TEST_P(route_finds, the_longest_prefix)
+{
+    routing_config config;
+    config.routes = {route("root", "a.example", "/"), route("logs", "a.example", "/logs/"),
+                     route("old", "a.example", "/logs/old/"), route("b", "b.example", "/logs/")};
+    route_table const table(config);
+    auto const found = table.find(GetParam().host, GetParam().path);
+    EXPECT_EQ(found ? found->name.value : "", GetParam().route);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases, route_finds,
+                         testing::Values(find_case{"a.example", "/logs/old/7", "old"},
+                                         find_case{"a.example", "/logs/older", "logs"},
+                                         find_case{"a.example", "/logs/", "logs"},
+                                         find_case{"a.example", "/logs", "root"},
+                                         find_case{"A.Example:8080", "/logs/1", "logs"},
+                                         find_case{"b.example", "/other", ""},
+                                         find_case{"c.example", "/logs/", ""},
+                                         find_case{"a.example", "*", ""}));
+
+TEST(route_table, leaves_the_query_out_of_the_path)
+{
+    EXPECT_EQ(path_of("/a/b?c=/d/"), "/a/b");
+    EXPECT_EQ(path_of("/a"), "/a");
+}
+
+TEST(route_table, homes_bind_a_host_only_when_all_its_routes_have_homes)
+{
+    routing_config config;
+    config.routes = {route("a", "free.example", "/a/", {region_id("east")}),
+                     route("b", "free.example", "/b/"),
+                     route("c", "bound.example", "/a/", {region_id("east")}),
+                     route("d", "bound.example", "/b/", {region_id("west")})};
+    route_table const table(config);
+    EXPECT_TRUE(table.home_regions("free.example").empty());
+    EXPECT_EQ(table.home_regions("bound.example").size(), 2U);
+    EXPECT_TRUE(table.home_regions("unknown.example").empty());
+}
+
+RC_GTEST_PROP(part_choice, gives_each_part_its_weight, ())
+{
+    auto const weights =
+        *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100)));
+    route_config split = route("split", "a.example", "/");
+    split.parts.clear();
+    double total = 0;
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        split.parts.push_back({service_id(std::to_string(i)), static_cast<double>(weights[i])});
+        total += weights[i];
+    }
+    part_choice choice;
+    std::map<service_id, double> taken;
+    int const requests = *rc::gen::inRange(1, 400);
+    for (int i = 0; i < requests; ++i) {
+        taken[choice.next(split)] += 1;
+    }
+    for (route_part const& part : split.parts) {
+        double const due = requests * part.weight / total;
+        RC_ASSERT(taken[part.service] <= due + static_cast<double>(weights.size()));
+        RC_ASSERT(taken[part.service] >= due - static_cast<double>(weights.size()));
+    }
+}
+
+TEST(part_choice, starts_anew_when_the_weights_change)
+{
+    route_config split = route("split", "a.example", "/");
+    split.parts = {{service_id("a"), 9}, {service_id("b"), 1}};
+    part_choice choice;
+    for (int i = 0; i < 5; ++i) {
+        choice.next(split);
+    }
+    split.parts = {{service_id("a"), 0}, {service_id("b"), 1}};
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(choice.next(split), service_id("b"));
+    }
+}
+
+} // namespace
+} // namespace cove
--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,132 @@
+#pragma once
+/** @file A TCP server that answers requests with given bytes, right or wrong. */
+
+#include "core/time_type.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cove {
+
+/** What a scripted server does after its bytes. */
+enum class after_bytes { keep, close, reset };
+
+/** One answer of a scripted server. */
+struct scripted_answer {
+    std::string bytes;
+    after_bytes then = after_bytes::keep;
+};
+
+/** Answers each request head it reads with what a function gives. */
+class scripted_server {
+public:
+    using script = std::function<scripted_answer(std::string const& head)>;
+
+    scripted_server(boost::asio::io_context& loop, script answers)
+        : loop_(loop), answers_(std::move(answers)),
+          acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        accept();
+    }
+
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(endpoint().port());
+    }
+
+    std::vector<std::string> heads; ///< that came, in order
+    int connections = 0;
+    int closed_by_peer = 0; ///< connections that the other side ended
+
+private:
+    struct session : std::enable_shared_from_this<session> {
+        session(scripted_server& owner, boost::asio::ip::tcp::socket peer)
+            : server(owner), socket(std::move(peer))
+        {
+        }
+
+        void read()
+        {
+            boost::asio::async_read_until(
+                socket, buffer, "\r\n\r\n",
+                [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                    if (error) {
+                        ++self->server.closed_by_peer;
+                        return;
+                    }
+                    auto const first = boost::asio::buffers_begin(self->buffer.data());
+                    std::string const head(first, first + static_cast<std::ptrdiff_t>(size));
+                    self->buffer.consume(self->buffer.size());
+                    self->server.heads.push_back(head);
+                    self->answer(self->server.answers_(head));
+                });
+        }
+
+        void answer(scripted_answer what)
+        {
+            bytes = std::move(what.bytes);
+            boost::asio::async_write(
+                socket, boost::asio::buffer(bytes),
+                [self = shared_from_this(), then = what.then](boost::system::error_code,
+                                                              std::size_t) {
+                    if (then == after_bytes::keep) {
+                        self->read();
+                        return;
+                    }
+                    if (then == after_bytes::reset) {
+                        self->socket.set_option(boost::asio::socket_base::linger(true, 0));
+                    }
+                    self->socket.close();
+                });
+        }
+
+        scripted_server& server;
+        boost::asio::ip::tcp::socket socket;
+        boost::asio::streambuf buffer;
+        std::string bytes;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept(loop_, [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+            if (!error) {
+                ++connections;
+                std::make_shared<session>(*this, std::move(socket))->read();
+                accept();
+            }
+        });
+    }
+
+    boost::asio::io_context& loop_;
+    script answers_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+/** Runs @p loop until @p done holds or @p longest has passed. @return whether it held. */
+inline bool run_until(boost::asio::io_context& loop, std::function<bool()> const& done,
+                      milliseconds longest = milliseconds{5000})
+{
+    constexpr milliseconds step{2};
+    auto const end = read_clocks().mono + longest;
+    while (!done() && read_clocks().mono < end) {
+        loop.restart();
+        loop.run_for(step);
+    }
+    return done();
+}
+
+} // namespace cove
--- /dev/null
+++ b/tests/traffic/traffic_bench.h
@@ -0,0 +1,118 @@
+#pragma once
+/** @file A traffic reducer with a clock of its own and a zone of targets, for tests. */
+
+#include "traffic/traffic.h"
+
+#include <algorithm>
+
+namespace cove {
+
+/** Feeds events to a reducer and keeps the effects of the last one. */
+class traffic_bench {
+public:
+    explicit traffic_bench(repeat_terms repeats = {0.2, milliseconds{10'000}, 50})
+        : reducer({zone_id("home"),
+                   {{zone_id("home"), region_id("r")}, {zone_id("away"), region_id("s")}},
+                   repeats,
+                   1.5})
+    {
+        route.name = route_id("route");
+        route.idempotent = true;
+        route.timeout = milliseconds{2000};
+        route.objective = milliseconds{300};
+        route.max_attempts = 2;
+        route.sticky = true;
+        services.services[desk] = {desk, "/health", 100, milliseconds{3000}, 4};
+        feed(services);
+    }
+
+    traffic_effects const& feed(traffic_event const& event)
+    {
+        effects = reducer.reduce(event, now);
+        return effects;
+    }
+
+    /** Lists targets `t0`, `t1`, … of the home zone. */
+    void list(int count, int slots = 2)
+    {
+        entries.clear();
+        for (int i = 0; i < count; ++i) {
+            entries.push_back(target("t" + std::to_string(i), "home", slots));
+        }
+        feed(targets_listed{entries});
+    }
+
+    target_entry target(std::string const& name, std::string const& zone, int slots) const
+    {
+        target_entry entry;
+        entry.id = target_id(name);
+        entry.service = desk;
+        entry.address = "10.0.0.1:80";
+        entry.zone = zone_id(zone);
+        entry.slots = slots;
+        entry.life = target_life(1);
+        return entry;
+    }
+
+    request_id arrive(std::string const& object = "", std::string const& client = "c")
+    {
+        request_id const id(next++);
+        feed(request_arrived{id, std::make_shared<route_config const>(route), desk,
+                             object_key(object), client, deadline});
+        return id;
+    }
+
+    traffic_effects const& end(request_id id, target_id const& target, attempt_end how)
+    {
+        attempt_ended event;
+        event.id = id;
+        event.target = target;
+        event.end = how;
+        return feed(event);
+    }
+
+    /** Lets time pass in steps of the host's tick. */
+    void pass(milliseconds time)
+    {
+        constexpr milliseconds step{20};
+        for (milliseconds done{0}; done < time; done += step) {
+            now += step;
+            auto const more = reducer.reduce(time_passed{}, now);
+            passed.insert(passed.end(), more.begin(), more.end());
+        }
+    }
+
+    /** @return the effects of kind @p Effect in @p list. */
+    template <class Effect>
+    static std::vector<Effect> only(traffic_effects const& list)
+    {
+        std::vector<Effect> out;
+        for (traffic_effect const& effect : list) {
+            if (auto const* const found = std::get_if<Effect>(&effect)) {
+                out.push_back(*found);
+            }
+        }
+        return out;
+    }
+
+    /** @return the one effect of kind @p Effect of the last event, if there is just one. */
+    template <class Effect>
+    [[nodiscard]] std::optional<Effect> one() const
+    {
+        auto const found = only<Effect>(effects);
+        return found.size() == 1 ? std::optional(found[0]) : std::nullopt;
+    }
+
+    service_id const desk{"desk"};
+    traffic reducer;
+    route_config route;
+    services_listed services;
+    std::vector<target_entry> entries;
+    milliseconds deadline{2000};
+    mono_time now{seconds{100}};
+    traffic_effects effects; ///< of the last event
+    traffic_effects passed;  ///< of pass()
+    std::uint64_t next = 1;
+};
+
+} // namespace cove
