--- a/src/ctl/status_cmd.cpp
+++ b/src/ctl/status_cmd.cpp
@@ -6,8 +6,8 @@
 #include "ctl/submit.h"
 #include "net/caller_api.h"
 #include "net/http_server.h"
-#include "store/store_api.h"
 #include "settings/settings_table.h"
+#include "store/store_api.h"
 
 #include <algorithm>
 #include <thread>
@@ -151,7 +151,7 @@
 ctl_report run_status(ctl_options const& options)
 {
     object_client store(options.store.empty() ? "127.0.0.1:1" : options.store,
-                       seconds(options.timeout_s));
+                        seconds(options.timeout_s));
     if (!options.submit_id.empty()) {
         return find_submit(store, options.submit_id);
     }
@@ -186,7 +186,7 @@
     }
     generation const wanted{static_cast<std::uint64_t>(options.number)};
     object_client store(options.store.empty() ? "127.0.0.1:1" : options.store,
-                       seconds(options.timeout_s));
+                        seconds(options.timeout_s));
     auto const hosts = read_hosts(options, store);
     if (!hosts) {
         return report_error(ctl_not_known, hosts.error());
--- a/src/directory/client_shares.cpp
+++ b/src/directory/client_shares.cpp
@@ -10,8 +10,8 @@
 /// Load of a zone relative to the mean of all that is still planned for: moving clients whole, so
 /// that their objects stay warm in one zone, gained more than even loads did.
 constexpr double highest_load = 1.2;
-constexpr double least_load = 0.3;  ///< of the slots; differences below it mean nothing
-constexpr double load_weight = 0; ///< how strongly uneven loads move clients
+constexpr double least_load = 0.3; ///< of the slots; differences below it mean nothing
+constexpr double load_weight = 0;  ///< how strongly uneven loads move clients
 constexpr double negligible = 1e-6;
 
 /** Cached answers move late and together, so only part of the cap is planned for. */
@@ -46,7 +46,8 @@
             double const mean = std::max(least_load, total.busy / total.slots);
             double const load =
                 capacity.slots > 0 ? std::max(least_load, capacity.busy / capacity.slots) : mean;
-            part = std::min(part, capacity.slots / total.slots * std::pow(mean / load, load_weight));
+            part =
+                std::min(part, capacity.slots / total.slots * std::pow(mean / load, load_weight));
         }
         out[zone.zone] = part;
         sum += part;
--- a/src/directory/client_shares.h
+++ b/src/directory/client_shares.h
@@ -1,5 +1,6 @@
 #pragma once
-/** @file Which availability zones the clients of a zone are sent to, and how fast that may change. */
+/** @file Which availability zones the clients of a zone are sent to, and how fast that may change.
+ */
 
 #include "core/ids_type.h"
 #include "core/time_type.h"
--- a/src/directory/lookup.h
+++ b/src/directory/lookup.h
@@ -18,8 +18,8 @@
 
 /** What a look-up asks. */
 struct lookup_query {
-    zone_id zone;             ///< of the client
-    std::string client;       ///< tells clients apart, for example the IP
+    zone_id zone;                ///< of the client
+    std::string client;          ///< tells clients apart, for example the IP
     std::set<region_id> regions; ///< that may be named; empty: any
 };
 
--- a/src/directory/room_division.cpp
+++ b/src/directory/room_division.cpp
@@ -29,8 +29,7 @@
 
 } // namespace
 
-std::vector<granted_room> divide_rooms(std::vector<zone_report> const& reports,
-                                       node_id const& self)
+std::vector<granted_room> divide_rooms(std::vector<zone_report> const& reports, node_id const& self)
 {
     std::vector<granted_room> out;
     std::vector<service_id> services;
@@ -49,15 +48,14 @@
             std::vector<std::pair<std::uint64_t, node_id>> outside;
             for (zone_report const& report : reports) {
                 if (report.zone != zone) {
-                    outside.emplace_back(
-                        stable_hash(report.host.value, stable_hash(zone.value)), report.host);
+                    outside.emplace_back(stable_hash(report.host.value, stable_hash(zone.value)),
+                                         report.host);
                 }
             }
             std::sort(outside.begin(), outside.end());
             for (std::size_t rank = 0; rank < outside.size() && units > 0; ++rank) {
                 auto const count = static_cast<int>(outside.size());
-                int const part =
-                    units / count + (static_cast<int>(rank) < units % count ? 1 : 0);
+                int const part = units / count + (static_cast<int>(rank) < units % count ? 1 : 0);
                 if (outside[rank].second == self && part > 0) {
                     out.push_back({zone, service, part});
                 }
--- a/src/directory/room_division.h
+++ b/src/directory/room_division.h
@@ -30,8 +30,9 @@
 
 /**
  * Answers the load of a zone that lost its targets or is short of slots: its hosts send to other
- * zones, all together never more than half of what those have spare. Hosts compute the same division from the
- * same reports, so no message is needed; a zone that is no longer heard of gives nothing.
+ * zones, all together never more than half of what those have spare. Hosts compute the same
+ * division from the same reports, so no message is needed; a zone that is no longer heard of gives
+ * nothing.
  * @param self whose part is wanted.
  */
 std::vector<granted_room> divide_rooms(std::vector<zone_report> const& reports,
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -8,7 +8,7 @@
 
 /// Changes come in series; each watch brings all that came meanwhile, and each call is paid for.
 constexpr milliseconds gather_time{150};
-constexpr milliseconds first_wait{200}; ///< after a failure
+constexpr milliseconds first_wait{200};    ///< after a failure
 constexpr milliseconds longest_wait{1000}; ///< the promises bind again seconds after an outage
 
 } // namespace
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -30,7 +30,7 @@
     using done = std::function<void(follow_answer)>;
     std::function<void(done)> list;
     std::function<void(revision, done)> watch;
-    std::function<void()> abort;             ///< ends the call under way; its done is not called
+    std::function<void()> abort; ///< ends the call under way; its done is not called
     std::function<void(bool up, std::string const& detail)> reachable; ///< when that changes
 };
 
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -19,11 +19,11 @@
 /// Hosts of one start register within that time; then the list shows who follows the store.
 constexpr milliseconds list_wait{700};
 constexpr milliseconds first_duty_wait{1000};
-constexpr int followers_in_zone = 2; ///< one may fail without a gap
-constexpr milliseconds register_wait{500};    ///< between tries while the store fails
-constexpr milliseconds steer_interval{500};   ///< shares move in steps too small to notice
-constexpr milliseconds behind_patience{600};  ///< own watches mostly bring it within that time
-constexpr milliseconds pull_interval{1000};   ///< an answer to a pull comes sooner or is lost
+constexpr int followers_in_zone = 2;         ///< one may fail without a gap
+constexpr milliseconds register_wait{500};   ///< between tries while the store fails
+constexpr milliseconds steer_interval{500};  ///< shares move in steps too small to notice
+constexpr milliseconds behind_patience{600}; ///< own watches mostly bring it within that time
+constexpr milliseconds pull_interval{1000};  ///< an answer to a pull comes sooner or is lost
 constexpr double stop_share = 0.4;  ///< of the grace: then clients' cached look-ups are over
 constexpr double exit_share = 0.97; ///< of the grace: the last moment for answers still due
 constexpr milliseconds exit_check{20};
@@ -43,8 +43,8 @@
     self.client_address = settings.client_address;
     // Later lives of a name must rank higher; clocks that step back are met by the fleet's
     // patience: a report with a lower life counts again once the old one is forgotten.
-    self.life = host_life(
-        static_cast<std::uint64_t>(read_clocks().wall.time_since_epoch().count()));
+    self.life =
+        host_life(static_cast<std::uint64_t>(read_clocks().wall.time_since_epoch().count()));
     return self;
 }
 
@@ -78,19 +78,19 @@
                     carrier_.on_request(call, std::move(request));
                 },
                 [this](call_id call) { carrier_.on_client_left(call); }}),
-      readiness_(loop, timers,
-                 {[this](call_id call, http_request const& request) {
-                      answer_readiness(call, request);
-                  },
-                  [](call_id) {}}),
-      directory_(loop, timers,
-                 {[this](call_id call, http_request const& request) {
-                      answer_lookup(call, request);
-                  },
-                  [](call_id) {}}),
+      readiness_(
+          loop, timers,
+          {[this](call_id call, http_request const& request) { answer_readiness(call, request); },
+           [](call_id) {}}),
+      directory_(
+          loop, timers,
+          {[this](call_id call, http_request const& request) { answer_lookup(call, request); },
+           [](call_id) {}}),
       view_(self_report(settings_), random_seed()),
-      transport_(loop, settings_.peer_port, [this](std::string const& bytes) { on_message(bytes); }),
-      store_(observed(connect_store(hooks()))), config_follower_(timers, store_.config, random_seed()),
+      transport_(loop, settings_.peer_port,
+                 [this](std::string const& bytes) { on_message(bytes); }),
+      store_(observed(connect_store(hooks()))),
+      config_follower_(timers, store_.config, random_seed()),
       target_follower_(timers, store_.targets, random_seed()),
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
@@ -348,8 +348,7 @@
     own.store_lost = !config_follower_.reachable() || !target_follower_.reachable() ||
                      !evacuation_follower_.reachable();
     for (service_load const& load : carrier_.loads()) {
-        own.loads.push_back(
-            {load.service, load.slots, load.listed, load.busy, load.waiting});
+        own.loads.push_back({load.service, load.slots, load.listed, load.busy, load.waiting});
     }
     return own;
 }
@@ -376,8 +375,8 @@
 void entry_host::report_peers(mono_time now)
 {
     auto const serving = view_.serving(now);
-    carrier_.set_peers({view_.serving_in_zone(now), static_cast<int>(serving.size()),
-                        rooms(serving)});
+    carrier_.set_peers(
+        {view_.serving_in_zone(now), static_cast<int>(serving.size()), rooms(serving)});
 }
 
 std::vector<remote_room> entry_host::rooms(std::vector<host_report> const& hosts) const
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -1,5 +1,6 @@
 #pragma once
-/** @file One entry host: takes requests, answers look-ups, follows the store, talks to its peers. */
+/** @file One entry host: takes requests, answers look-ups, follows the store, talks to its peers.
+ */
 
 #include "directory/lookup.h"
 #include "directory/room_division.h"
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -29,7 +29,8 @@
         .value("regions", "object of zone to region", "the region of every availability zone",
                read_regions)
         .ip_port("client_address", &s::client_address, "where clients send requests")
-        .ip_port("readiness_address", &s::readiness_address, "where the platform asks for readiness")
+        .ip_port("readiness_address", &s::readiness_address,
+                 "where the platform asks for readiness")
         .ip_port("directory_address", &s::directory_address, "where clients look up entry hosts")
         .text("ip", &s::ip, "own IP number")
         .whole("peer_port", &s::peer_port, 1, last_port,
@@ -46,7 +47,8 @@
         .number("repeat_ratio", &s::repeat_ratio, "repeats per request, all hosts together")
         .duration("repeat_window", &s::repeat_window, "over which repeats are counted")
         .number("repeat_slack", &s::repeat_slack, "repeats besides, all hosts together")
-        .number("cold_overage", &s::cold_overage, "bound on requests to a cold target over its rate")
+        .number("cold_overage", &s::cold_overage,
+                "bound on requests to a cold target over its rate")
         .number("shift_cap", &s::shift_cap,
                 "share of a region's traffic that may change region in 2 s");
     return table;
--- a/src/host/request_carrier.cpp
+++ b/src/host/request_carrier.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr unsigned http_version = 11;
-constexpr milliseconds tick_interval{20}; ///< queues and time-outs are that exact
+constexpr milliseconds tick_interval{20};   ///< queues and time-outs are that exact
 constexpr milliseconds no_config_wait{500}; ///< a new host has its configuration that soon
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
@@ -113,7 +113,9 @@
     open.service = parts_.next(*route);
     open.arrived = read_clocks().mono;
     auto const deadline = read_int(text_of(request[names_.deadline]));
-    request_arrived event{request_id(call.value), route, open.service,
+    request_arrived event{request_id(call.value),
+                          route,
+                          open.service,
                           object_key(text_of(request[names_.object])),
                           server_->client_of(call),
                           deadline ? milliseconds(*deadline) : route->timeout};
@@ -278,8 +280,7 @@
                read_clocks().mono);
     count(found->second, name_of(effect.reason));
     open_.erase(found);
-    bool const not_run =
-        effect.reason == refusal::no_room || effect.reason == refusal::no_target;
+    bool const not_run = effect.reason == refusal::no_room || effect.reason == refusal::no_target;
     answer(call_id(effect.id.value), status_of(effect.reason),
            not_run ? effect.come_back : milliseconds{0});
 }
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -150,8 +150,7 @@
         return false;
     }
     char byte = 0;
-    auto const got =
-        ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    auto const got = ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
     // Anything to read is an end of the stream or bytes that belong to no request.
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -35,7 +35,7 @@
 struct exchange_limits {
     std::uint32_t header_bytes = 64 * 1024; ///< of a response
     std::uint64_t body_bytes = 16 << 20;    ///< of a response; an answer is held whole in memory
-    milliseconds unacknowledged{1500};      ///< TCP_USER_TIMEOUT: bytes that the peer leaves so long
+    milliseconds unacknowledged{1500}; ///< TCP_USER_TIMEOUT: bytes that the peer leaves so long
 };
 
 /**
--- a/src/http/forwarding.cpp
+++ b/src/http/forwarding.cpp
@@ -10,11 +10,16 @@
 
 using boost::beast::http::field;
 
-constexpr std::array hop_fields{field::connection,        field::keep_alive,
-                                field::proxy_connection,  field::te,
-                                field::trailer,           field::transfer_encoding,
-                                field::upgrade,           field::content_length,
-                                field::proxy_authenticate, field::proxy_authorization};
+constexpr std::array hop_fields{field::connection,
+                                field::keep_alive,
+                                field::proxy_connection,
+                                field::te,
+                                field::trailer,
+                                field::transfer_encoding,
+                                field::upgrade,
+                                field::content_length,
+                                field::proxy_authenticate,
+                                field::proxy_authorization};
 
 } // namespace
 
--- a/src/log/log_limiter.h
+++ b/src/log/log_limiter.h
@@ -13,7 +13,8 @@
     void event(std::string const& name, log_fields fields, mono_time now);
 
 private:
-    static constexpr int lines_per_second = 20; ///< lines cost processor time, most when it is short
+    static constexpr int lines_per_second =
+        20; ///< lines cost processor time, most when it is short
 
     mono_time second_began_{};
     int written_ = 0;
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-/// A host whose reports stop for so long is dead; four reports in a row get lost too seldom to matter.
+/// A host whose reports stop for so long is dead; four reports in a row get lost too seldom to
+/// matter.
 constexpr milliseconds silence_in_zone{1500};
 constexpr milliseconds silence_between_zones{3500}; ///< three rounds of speakers and the way on
-constexpr std::uint64_t speak_every = 4;    ///< ticks between messages to other zones
+constexpr std::uint64_t speak_every = 4;            ///< ticks between messages to other zones
 constexpr std::uint64_t stranger_every = 4; ///< ticks between messages to hosts not heard from
 
 } // namespace
@@ -40,8 +41,7 @@
 
 bool host_view::is_alive(known_host const& host, mono_time now) const
 {
-    auto const patience =
-        host.report.zone == self_.zone ? silence_in_zone : silence_between_zones;
+    auto const patience = host.report.zone == self_.zone ? silence_in_zone : silence_between_zones;
     return host.reported && now - host.heard < patience;
 }
 
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -20,7 +20,7 @@
 /** A host as it is known here. */
 struct known_host {
     host_report report;
-    mono_time heard{}; ///< when a newer report last came, from whomever
+    mono_time heard{};     ///< when a newer report last came, from whomever
     bool reported = false; ///< false while only its address is known
 };
 
--- a/src/peer/loop_transport.cpp
+++ b/src/peer/loop_transport.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-constexpr int high_water_mark = 64;         ///< messages; older ones are worth nothing
-constexpr int reconnect_ms = 200;           ///< first wait before a reconnect
-constexpr int reconnect_max_ms = 1000;      ///< longest wait before a reconnect
-constexpr int connect_timeout_ms = 1000;    ///< a host behind a cut does not answer
-constexpr int unacknowledged_ms = 1500;     ///< bytes left so long: the connection is dead
+constexpr int high_water_mark = 64;      ///< messages; older ones are worth nothing
+constexpr int reconnect_ms = 200;        ///< first wait before a reconnect
+constexpr int reconnect_max_ms = 1000;   ///< longest wait before a reconnect
+constexpr int connect_timeout_ms = 1000; ///< a host behind a cut does not answer
+constexpr int unacknowledged_ms = 1500;  ///< bytes left so long: the connection is dead
 
 void configure(zmq::socket_t& socket)
 {
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -46,8 +46,8 @@
     report.evacuations_at = revision(in.evacuations_revision());
     report.store_lost = in.store_lost();
     for (wire::ServiceLoadReport const& item : in.loads()) {
-        report.loads.push_back({service_id(item.service()), item.slots(), item.listed(), item.busy(),
-                                static_cast<int>(item.waiting())});
+        report.loads.push_back({service_id(item.service()), item.slots(), item.listed(),
+                                item.busy(), static_cast<int>(item.waiting())});
     }
     return report;
 }
--- a/src/route/route_type.h
+++ b/src/route/route_type.h
@@ -24,14 +24,14 @@
 struct route_config {
     route_id name;
     std::string host;
-    std::string path_prefix; ///< begins and ends with a slash
-    bool idempotent = false; ///< may run more than once
-    milliseconds timeout{};  ///< longest time that a request is kept waiting
+    std::string path_prefix;  ///< begins and ends with a slash
+    bool idempotent = false;  ///< may run more than once
+    milliseconds timeout{};   ///< longest time that a request is kept waiting
     milliseconds objective{}; ///< an answer within it is worth most
     int priority = 0;         ///< 0 is the most urgent
     std::vector<route_part> parts;
-    int max_attempts = 1; ///< targets that one request may be sent to
-    bool sticky = false;  ///< a target that handled the object lately is faster
+    int max_attempts = 1;                ///< targets that one request may be sent to
+    bool sticky = false;                 ///< a target that handled the object lately is faster
     std::vector<region_id> home_regions; ///< empty: any
 };
 
--- a/src/standin/standin_store.cpp
+++ b/src/standin/standin_store.cpp
@@ -2,9 +2,9 @@
 
 #include "log/log_func.h"
 #include "net/http_server.h"
-#include "store/store_api.h"
 #include "settings/program.h"
 #include "standin/object_store.h"
+#include "store/store_api.h"
 
 namespace {
 
--- a/src/store/object_client.cpp
+++ b/src/store/object_client.cpp
@@ -96,7 +96,7 @@
 }
 
 store_result<std::uint64_t> object_client::write(std::string const& name, std::string const& value,
-                                                std::uint64_t expected)
+                                                 std::uint64_t expected)
 {
     std::lock_guard const lock(mutex_);
     client_->set_read_timeout(timeout_);
--- a/src/traffic/come_back.cpp
+++ b/src/traffic/come_back.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr double golden_step = 0.6180339887; ///< spreads any number of values evenly
-constexpr milliseconds soonest{50}; ///< earlier ones find the state of the refusal
-constexpr milliseconds spread{150}; ///< comebacks of one moment go to so long a span
+constexpr milliseconds soonest{50};          ///< earlier ones find the state of the refusal
+constexpr milliseconds spread{150};          ///< comebacks of one moment go to so long a span
 constexpr double latest_share = 0.33; ///< of its time left that a client waits before it asks again
 
 } // namespace
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -62,13 +62,12 @@
         placement_option option;
         option.candidate = &candidate;
         option.rank = keyed ? ranks[i] : 0;
-        option.object_age =
-            keyed ? candidate.target->object_age(query.object) : std::nullopt;
-        option.service_ms = times.expected(warm_share(query, option)) * candidate.slowness +
-                            candidate.extra_ms;
+        option.object_age = keyed ? candidate.target->object_age(query.object) : std::nullopt;
+        option.service_ms =
+            times.expected(warm_share(query, option)) * candidate.slowness + candidate.extra_ms;
         double const ahead = candidate.load + candidate.queued - candidate.slots + 1;
-        option.wait_ms = std::max(0.0, ahead) / candidate.slots * query.service_mean_ms *
-                         candidate.slowness;
+        option.wait_ms =
+            std::max(0.0, ahead) / candidate.slots * query.service_mean_ms * candidate.slowness;
         option.cost = option.wait_ms + option.service_ms * (1 + query.load_price) +
                       rank_step_ms * static_cast<double>(option.rank) +
                       candidate.load / candidate.slots +
--- a/src/traffic/repeat_budget.h
+++ b/src/traffic/repeat_budget.h
@@ -10,9 +10,9 @@
 
 /** The bound on repeats that all hosts keep together. */
 struct repeat_terms {
-    double ratio = 0;       ///< repeats per request
-    milliseconds window{};  ///< over which it is counted
-    double slack = 0;       ///< repeats allowed besides, summed over all hosts
+    double ratio = 0;      ///< repeats per request
+    milliseconds window{}; ///< over which it is counted
+    double slack = 0;      ///< repeats allowed besides, summed over all hosts
 };
 
 /**
--- a/src/traffic/service_time.cpp
+++ b/src/traffic/service_time.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr double sample_weight = 0.05; ///< the mean of about the last 40 exchanges
+constexpr double sample_weight = 0.05;   ///< the mean of about the last 40 exchanges
 constexpr double first_warm_share = 0.5; ///< of the objective, before any answer came
 
 } // namespace
--- a/src/traffic/target_list.cpp
+++ b/src/traffic/target_list.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 target_list::target_list(milliseconds heartbeat, milliseconds drain)
-    : restore_time_(std::min(heartbeat + report_lag,
-                             milliseconds(static_cast<std::int64_t>(
-                                 drain_share * static_cast<double>(drain.count())))))
+    : restore_time_(
+          std::min(heartbeat + report_lag, milliseconds(static_cast<std::int64_t>(
+                                               drain_share * static_cast<double>(drain.count())))))
 {
 }
 
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -9,20 +9,20 @@
 
 namespace {
 
-constexpr milliseconds others_half_life{400}; ///< a report is as old as the answers are apart
+constexpr milliseconds others_half_life{400};    ///< a report is as old as the answers are apart
 constexpr milliseconds slowness_half_life{2000}; ///< a slow target is tried again that soon
 constexpr milliseconds failures_half_life{2000}; ///< so is a failing one
 constexpr double others_weight = 0.5;
 constexpr double slowness_weight = 0.3;
 constexpr double failures_weight = 0.2;
-constexpr double slowest = 20;          ///< beyond it a target gets no work anyway
-constexpr double overdue_factor = 4;    ///< answers as late as that are mostly lost
+constexpr double slowest = 20;           ///< beyond it a target gets no work anyway
+constexpr double overdue_factor = 4;     ///< answers as late as that are mostly lost
 constexpr double overdue_floor_ms = 250; ///< shorter waits are common on a busy host
 constexpr milliseconds first_pause{200}; ///< after a failed connection
 constexpr milliseconds longest_pause{1000};
-constexpr milliseconds shed_pause{30};   ///< after a refusal: about one request's end at a target
+constexpr milliseconds shed_pause{30}; ///< after a refusal: about one request's end at a target
 constexpr milliseconds trial_interval{400}; ///< between attempts at a silent target
-constexpr double busy_share = 0.75;      ///< a refusal below this load is a fault of the target
+constexpr double busy_share = 0.75;         ///< a refusal below this load is a fault of the target
 constexpr milliseconds one_second{1000};
 
 } // namespace
@@ -47,7 +47,8 @@
 }
 
 target_state::target_state(target_entry entry, mono_time now)
-    : entry_(std::move(entry)), id_hash_(stable_hash(entry_.id.value)), others_(0, others_half_life, others_weight),
+    : entry_(std::move(entry)), id_hash_(stable_hash(entry_.id.value)),
+      others_(0, others_half_life, others_weight),
       slowness_(1, slowness_half_life, slowness_weight),
       failures_(0, failures_half_life, failures_weight), sent_(one_second),
       cold_until_(now + entry_.cold_left)
@@ -87,8 +88,7 @@
 {
     return std::any_of(running_.begin(), running_.end(), [this, now](auto const& item) {
         auto const& attempt = item.second;
-        auto const patience =
-            std::max(overdue_floor_ms, overdue_factor * attempt.expected_ms);
+        auto const patience = std::max(overdue_floor_ms, overdue_factor * attempt.expected_ms);
         return attempt.sent > last_answer_ &&
                now - attempt.sent > milliseconds(static_cast<std::int64_t>(patience));
     });
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -98,10 +98,10 @@
     target_entry entry_;
     std::uint64_t id_hash_;
     std::map<request_id, running_attempt> running_;
-    fading_value others_;   ///< load of other hosts
+    fading_value others_; ///< load of other hosts
     fading_value slowness_;
     fading_value failures_;
-    rate_window sent_;      ///< requests of the last second
+    rate_window sent_; ///< requests of the last second
     warm_objects objects_;
     mono_time cold_until_{};
     mono_time resume_at_{};   ///< no new work before
--- a/src/traffic/target_type.h
+++ b/src/traffic/target_type.h
@@ -8,8 +8,8 @@
 
 namespace cove {
 
-using revision = strong_number<struct revision_tag>;        ///< of the platform's store
-using object_key = strong_name<struct object_key_tag>;      ///< what a request is about; may be empty
+using revision = strong_number<struct revision_tag>;   ///< of the platform's store
+using object_key = strong_name<struct object_key_tag>; ///< what a request is about; may be empty
 using target_life = strong_type<struct target_life_tag, std::int64_t>; ///< one start of a target
 
 /** Whether a target wants new work. */
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -123,8 +123,7 @@
         way_ms_.try_emplace(target.entry().zone, warm_weight, connect_ms)
             .first->second.add(connect_ms);
     }
-    double const took_ms =
-        std::max(0.1, as_ms(now_ - request.sent) - connect_ms - request.way_ms);
+    double const took_ms = std::max(0.1, as_ms(now_ - request.sent) - connect_ms - request.way_ms);
     route_time& times = times_.of(*request.route);
     bool const keyed = request.route->sticky && !request.object.value.empty();
     double const slowness = target.slowness(now_);
@@ -304,10 +303,9 @@
         refused_.add(identity_of(request), request.arrived - request.spent_before,
                      request.deadline);
     }
-    effects_.push_back(
-        answer_self{id, reason, come_back_.next(until_room, std::max(left, milliseconds{0})),
-                    request.attempts,
-                    std::chrono::duration_cast<milliseconds>(now_ - request.arrived)});
+    effects_.push_back(answer_self{
+        id, reason, come_back_.next(until_room, std::max(left, milliseconds{0})), request.attempts,
+        std::chrono::duration_cast<milliseconds>(now_ - request.arrived)});
     forget(id);
 }
 
@@ -568,10 +566,10 @@
     ++request.attempts;
     target.attempt_sent(request.id, request.object, option.service_ms, now_);
     option.candidate->load += 1;
-    effects_.push_back(send_attempt{
-        request.id, entry.id, entry.service, entry.address,
-        std::chrono::duration_cast<milliseconds>(request.expires - now_),
-        request.route->idempotent});
+    effects_.push_back(
+        send_attempt{request.id, entry.id, entry.service, entry.address,
+                     std::chrono::duration_cast<milliseconds>(request.expires - now_),
+                     request.route->idempotent});
 }
 
 std::vector<service_load> traffic::loads(mono_time now) const
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -28,7 +28,7 @@
     service_id service;
     object_key object;
     mono_time arrived;
-    mono_time expires;          ///< the client's deadline or the route's timeout
+    mono_time expires;           ///< the client's deadline or the route's timeout
     microseconds spent_before{}; ///< since the client's first try arrived, if it came back
     mono_time deadline;          ///< of the client
     std::string client;
@@ -71,7 +71,7 @@
     double slots = 0;  ///< of targets that take work now
     double listed = 0; ///< slots of all targets but those that leave
     double busy = 0;   ///< requests that they run
-    int waiting = 0;  ///< requests that wait in this host
+    int waiting = 0;   ///< requests that wait in this host
 };
 
 /**
@@ -108,8 +108,7 @@
     void after_failure(pending_request& request, attempt_ended const& event);
     bool retry(pending_request& request);
     void pump(service_id const& service);
-    placing_turn begin_turn(service_id const& service,
-                            pending_request const* newcomer = nullptr);
+    placing_turn begin_turn(service_id const& service, pending_request const* newcomer = nullptr);
     void survey_remote(placing_turn& turn, service_id const& service);
     void place(pending_request& request, placing_turn& turn);
     std::vector<placement_option> own_options(pending_request& request, placing_turn& turn);
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -28,12 +28,12 @@
 
 /** How one attempt at a target ended. */
 enum class attempt_end {
-    succeeded,      ///< the whole answer of a run
-    failed,         ///< the target answered that its run failed
-    refused,        ///< the target says that it did not run the request
-    wrong_target,   ///< another target has the address; it did not run the request
-    not_connected,  ///< no byte was sent
-    broken,         ///< the connection ended or the answer was spoilt; it may have run
+    succeeded,     ///< the whole answer of a run
+    failed,        ///< the target answered that its run failed
+    refused,       ///< the target says that it did not run the request
+    wrong_target,  ///< another target has the address; it did not run the request
+    not_connected, ///< no byte was sent
+    broken,        ///< the connection ended or the answer was spoilt; it may have run
 };
 
 /** An attempt ended. */
@@ -82,7 +82,8 @@
 /** Time has passed. */
 struct time_passed {};
 
-using traffic_event = std::variant<request_arrived, attempt_ended, client_gone, targets_listed,
-                                   evacuations_listed, services_listed, peers_reported, time_passed>;
+using traffic_event =
+    std::variant<request_arrived, attempt_ended, client_gone, targets_listed, evacuations_listed,
+                 services_listed, peers_reported, time_passed>;
 
 } // namespace cove
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -96,8 +96,9 @@
 
 TEST(share_mover, keeps_changes_of_region_under_the_cap)
 {
-    std::map<zone_id, region_id> const regions{
-        {zone_id("a"), region_id("r")}, {zone_id("b"), region_id("r")}, {zone_id("c"), region_id("s")}};
+    std::map<zone_id, region_id> const regions{{zone_id("a"), region_id("r")},
+                                               {zone_id("b"), region_id("r")},
+                                               {zone_id("c"), region_id("s")}};
     constexpr double cap = 0.15;
     mono_time const start{};
     share_mover mover(regions, cap, start);
@@ -185,7 +186,8 @@
     std::vector<zone_report> reports;
     for (std::size_t i = 0; i < loads.size(); ++i) {
         zone_id const name(std::to_string(i));
-        reports.push_back({node_id(name.value + "-1"), name,
+        reports.push_back({node_id(name.value + "-1"),
+                           name,
                            {{service_id("desk"), static_cast<double>(loads[i].first),
                              static_cast<double>(loads[i].second)}}});
         reports.push_back({node_id(name.value + "-2"), name, {}});
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -40,7 +40,8 @@
 
     bool asked_again()
     {
-        return run_until(loop, [this] { return answer != nullptr; }, milliseconds{2000});
+        return run_until(
+            loop, [this] { return answer != nullptr; }, milliseconds{2000});
     }
 
     boost::asio::io_context loop;
@@ -97,7 +98,8 @@
 {
     under_test.start();
     reply(follow_end::done, 40);
-    EXPECT_FALSE(run_until(loop, [this] { return answer != nullptr; }, milliseconds{400}));
+    EXPECT_FALSE(run_until(
+        loop, [this] { return answer != nullptr; }, milliseconds{400}));
     under_test.set_active(true);
     EXPECT_EQ(watches, 1);
     under_test.set_active(false);
--- /dev/null
+++ b/tests/host_test.cpp
@@ -0,0 +1,399 @@
+/** @file A whole entry host over loopback, between a client, targets and a store of the test. */
+
+#include "host/entry_host.h"
+#include "support/free_port.h"
+#include "support/scripted_server.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+std::string settings_text(std::string const& changed = "", std::string const& value = "")
+{
+    nlohmann::json settings{{"name", "h1"},
+                            {"zone", "east"},
+                            {"region", "r"},
+                            {"regions", {{"east", "r"}}},
+                            {"client_address", loopback(free_port())},
+                            {"readiness_address", loopback(free_port())},
+                            {"directory_address", loopback(free_port())},
+                            {"ip", "127.0.0.1"},
+                            {"peer_port", free_port()},
+                            {"seeds", nlohmann::json::array()},
+                            {"store_address", "127.0.0.1:9"},
+                            {"heartbeat", "1500ms"},
+                            {"contact", "3s"},
+                            {"drain", "2s"},
+                            {"grace", "2s"},
+                            {"answer_lifetime_max", "5s"},
+                            {"processor_share", 0.2},
+                            {"repeat_ratio", 0.2},
+                            {"repeat_window", "10s"},
+                            {"repeat_slack", 50},
+                            {"cold_overage", 1.5},
+                            {"shift_cap", 0.15}};
+    if (!changed.empty()) {
+        settings[changed] = nlohmann::json::parse(value);
+    }
+    return settings.dump();
+}
+
+TEST(host_settings, are_read_from_the_deployments_template)
+{
+    // Placeholders become the words of the platform; here a word of the right form does.
+    std::ifstream file("deploy/settings.json");
+    ASSERT_TRUE(file) << "run from the repository";
+    std::string const text{std::istreambuf_iterator<char>(file), {}};
+    std::string filled;
+    for (std::size_t at = 0; at < text.size();) {
+        if (text.compare(at, 2, "{{") == 0) {
+            filled += "null";
+            at = text.find("}}", at) + 2;
+        }
+        else {
+            filled += text[at++];
+        }
+    }
+    auto const fields = nlohmann::json::parse(filled);
+    auto const settings = nlohmann::json::parse(settings_text());
+    for (auto const& [name, value] : settings.items()) {
+        EXPECT_TRUE(fields.contains(name)) << name;
+    }
+    EXPECT_EQ(fields.size(), settings.size());
+}
+
+TEST(host_settings, name_what_is_wrong)
+{
+    for (auto const& [field, value] :
+         std::map<std::string, std::string>{{"grace", "6"},
+                                            {"ip", "\"\""},
+                                            {"regions", "[]"},
+                                            {"client_address", "\"x\""},
+                                            {"shift_cap", "-1"}}) {
+        auto const read = host_settings_table().parse(settings_text(field, value), "boot.json");
+        ASSERT_FALSE(read) << field;
+        EXPECT_NE(to_string(read.error()).find("boot.json#/" + field), std::string::npos);
+    }
+    nlohmann::json missing = nlohmann::json::parse(settings_text());
+    missing.erase("zone");
+    auto const read = host_settings_table().parse(missing.dump(), "boot.json");
+    ASSERT_FALSE(read);
+    EXPECT_NE(to_string(read.error()).find("missing"), std::string::npos);
+}
+
+std::string response(std::string const& status, std::string const& fields,
+                     std::string const& body = "")
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string const served = response("200 OK", "Attempt: a1\r\nSignature: s\r\n", "whole body");
+
+/** A host whose store is the test. */
+class host_case : public testing::Test {
+protected:
+    host_case() : timers(loop)
+    {
+        auto const settings = host_settings_table().parse(settings_text(), "test");
+        EXPECT_TRUE(settings);
+        client_address = settings->client_address;
+        ready_address = settings->readiness_address;
+        directory_address = settings->directory_address;
+        host_wire wire;
+        wire.names = {"Attempt", "Deadline", "Object", "Expected", "Signature", "Not-Run", "Load"};
+        wire.ready_path = "/ready";
+        wire.read_lookup = [](std::string const&) {
+            return lookup_request{"desk.example", zone_id("east")};
+        };
+        wire.lookup_body = [](std::vector<std::string> const& addresses, milliseconds) {
+            return nlohmann::json(addresses).dump();
+        };
+        host = std::make_unique<entry_host>(
+            loop, timers, *settings, wire, [settings] { return *settings; },
+            [this](store_hooks hooks) {
+                store = std::move(hooks);
+                return quiet_store();
+            });
+        EXPECT_TRUE(host->start());
+    }
+
+    /** A store that answers nothing by itself. */
+    static store_port quiet_store()
+    {
+        follow_calls calls;
+        calls.list = [](follow_calls::done const&) {};
+        calls.watch = [](revision, follow_calls::done const&) {};
+        calls.abort = [] {};
+        store_port port;
+        port.config = port.targets = port.evacuations = calls;
+        port.register_host = [](host_record const&, std::function<void(bool)> const&) {};
+        port.list_hosts = [](std::function<void(bool)> const&) {};
+        return port;
+    }
+
+    void configure(std::uint64_t version, std::string const& prefix, bool idempotent = false)
+    {
+        config_document document;
+        document.text = "text";
+        document.config.version = generation(version);
+        route_config route;
+        route.name = route_id("route");
+        route.host = "desk.example";
+        route.path_prefix = prefix;
+        route.idempotent = idempotent;
+        route.timeout = milliseconds{1000};
+        route.objective = milliseconds{500};
+        route.max_attempts = 2;
+        route.parts = {{service_id("desk"), 1}};
+        document.config.routes = {route};
+        document.config.services[service_id("desk")] = {service_id("desk"), "/h", 9,
+                                                        milliseconds{3000}, 10};
+        document.config.limits = {16384, 1 << 20, milliseconds{3000}, milliseconds{15'000}};
+        store.config(document);
+    }
+
+    void list(std::vector<scripted_server*> const& servers, std::uint64_t at = 1)
+    {
+        std::vector<target_entry> entries;
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            target_entry entry;
+            entry.id = target_id("t" + std::to_string(i));
+            entry.service = service_id("desk");
+            entry.address = servers[i]->address();
+            entry.zone = zone_id("east");
+            entry.slots = 4;
+            entries.push_back(entry);
+        }
+        store.targets_listed(entries, revision(at));
+    }
+
+    /** Sends one request and waits for its answer. */
+    exchange_result ask(std::string const& address, std::string const& target,
+                        std::string const& body = "")
+    {
+        auto const where = parse_address(address);
+        auto const connection = std::make_shared<exchange_connection>(
+            loop,
+            http_endpoint(boost::asio::ip::make_address(where->ip),
+                          static_cast<std::uint16_t>(where->port)),
+            exchange_limits{});
+        http_request request(boost::beast::http::verb::put, target, 11);
+        request.set(boost::beast::http::field::host, "desk.example");
+        request.set("Attempt", "a1");
+        request.set("Deadline", "1500");
+        request.body() = body;
+        request.prepare_payload();
+        std::optional<exchange_result> got;
+        connection->exchange(std::move(request), nullptr,
+                             [&](exchange_result result) { got = std::move(result); });
+        EXPECT_TRUE(run_until(loop, [&] { return got.has_value(); }));
+        return got.value_or(exchange_result{});
+    }
+
+    unsigned status(std::string const& target)
+    {
+        return ask(client_address, target).response.result_int();
+    }
+
+    boost::asio::io_context loop;
+    loop_timers timers;
+    store_hooks store;
+    std::string client_address;
+    std::string ready_address;
+    std::string directory_address;
+    std::unique_ptr<entry_host> host;
+};
+
+TEST_F(host_case, refuses_until_it_has_a_configuration_and_never_goes_back)
+{
+    auto const early = ask(client_address, "/new/1");
+    EXPECT_EQ(early.response.result_int(), 503U);
+    EXPECT_GT(early.response.count(boost::beast::http::field::retry_after), 0U);
+    EXPECT_EQ(ask(ready_address, "/ready").response.result_int(), 503U);
+    scripted_server target(loop, [](std::string const&) {
+        return scripted_answer{served, after_bytes::keep};
+    });
+    list({&target});
+    configure(7, "/new/");
+    configure(6, "/old/"); // a stale read
+    EXPECT_EQ(status("/new/1"), 200U);
+    EXPECT_EQ(status("/old/1"), 404U);
+    EXPECT_EQ(ask(ready_address, "/ready").response.result_int(), 200U);
+}
+
+TEST_F(host_case, passes_a_request_on_unchanged_but_for_its_own_fields)
+{
+    scripted_server target(loop, [](std::string const&) {
+        return scripted_answer{served, after_bytes::keep};
+    });
+    list({&target});
+    configure(1, "/a/");
+    auto const answer = ask(client_address, "/a/x%2Fy?q=1", "");
+    EXPECT_EQ(answer.response.body(), "whole body");
+    EXPECT_EQ(answer.response["Signature"], "s");
+    ASSERT_EQ(target.heads.size(), 1U);
+    std::string const& head = target.heads[0];
+    EXPECT_EQ(head.find("PUT /a/x%2Fy?q=1 HTTP/1.1\r\n"), 0U) << head;
+    EXPECT_NE(head.find("Expected: t0\r\n"), std::string::npos);
+    EXPECT_NE(head.find("Attempt: a1\r\n"), std::string::npos);
+    auto const at = head.find("Deadline: ");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_LE(std::stoi(head.substr(at + 10)), 1000); // the route's time-out, less what is gone
+}
+
+struct target_case {
+    char const* name;
+    scripted_answer answer;
+    bool idempotent;
+    unsigned status;
+    int arrivals; ///< at both targets together
+};
+
+class host_and_targets : public host_case, public testing::WithParamInterface<target_case> {};
+
+TEST_P(host_and_targets, tell_the_client_the_truth)
+{
+    int arrivals = 0;
+    bool first = true;
+    auto const script = [&](std::string const&) {
+        ++arrivals;
+        bool const bad = std::exchange(first, false);
+        return bad ? GetParam().answer : scripted_answer{served, after_bytes::keep};
+    };
+    scripted_server one(loop, script);
+    scripted_server two(loop, script);
+    list({&one, &two});
+    configure(1, "/a/", GetParam().idempotent);
+    EXPECT_EQ(status("/a/1"), GetParam().status);
+    EXPECT_EQ(arrivals, GetParam().arrivals);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, host_and_targets,
+    testing::Values(
+        target_case{
+            "shed", {response("503 Busy", "Not-Run: 1\r\n"), after_bytes::keep}, false, 200, 2},
+        target_case{"wrong_target", {response("421 Other", ""), after_bytes::keep}, false, 200, 2},
+        target_case{"failed",
+                    {response("500 Failed", "Attempt: a1\r\nSignature: s\r\n"), after_bytes::keep},
+                    false,
+                    500,
+                    1},
+        target_case{"failed_repeatable",
+                    {response("500 Failed", "Attempt: a1\r\nSignature: s\r\n"), after_bytes::keep},
+                    true,
+                    200,
+                    2},
+        target_case{"answer_lost", {"", after_bytes::reset}, false, 502, 1},
+        target_case{"answer_lost_repeatable", {"", after_bytes::reset}, true, 200, 2},
+        target_case{
+            "cut_short",
+            {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\nContent-Length: 99\r\n\r\nx",
+             after_bytes::close},
+            false,
+            502,
+            1},
+        target_case{"success_without_signature",
+                    {response("200 OK", "Attempt: a1\r\n", "x"), after_bytes::keep},
+                    false,
+                    502,
+                    1},
+        target_case{
+            "encoded",
+            {response("200 OK", "Attempt: a1\r\nSignature: s\r\nContent-Encoding: gzip\r\n", "x"),
+             after_bytes::keep},
+            false,
+            502,
+            1},
+        target_case{"silent", {"", after_bytes::keep}, false, 504, 1}),
+    [](auto const& info) { return info.param.name; });
+
+TEST_F(host_case, refuses_with_a_time_to_come_back_when_nothing_serves)
+{
+    configure(1, "/a/");
+    list({});
+    auto const answer = ask(client_address, "/a/1");
+    EXPECT_EQ(answer.response.result_int(), 503U);
+    std::string const wait(answer.response["Retry-After"]);
+    EXPECT_GT(std::stod(wait), 0);
+    EXPECT_LT(std::stod(wait), 1.5);
+}
+
+TEST_F(host_case, sends_nothing_to_a_target_that_left_the_list)
+{
+    scripted_server target(loop, [](std::string const&) {
+        return scripted_answer{served, after_bytes::keep};
+    });
+    configure(1, "/a/");
+    list({&target}, 1);
+    EXPECT_EQ(status("/a/1"), 200U);
+    store.targets_changed({revision(1), revision(2), {{target_id("t0"), std::nullopt}}});
+    EXPECT_EQ(status("/a/2"), 503U);
+    EXPECT_EQ(target.heads.size(), 1U);
+}
+
+TEST_F(host_case, takes_a_change_after_a_quiet_watch)
+{
+    // A watch without events moves the revision on; the next change starts from there.
+    scripted_server target(loop, [](std::string const&) {
+        return scripted_answer{served, after_bytes::keep};
+    });
+    configure(1, "/a/");
+    list({&target}, 1);
+    store.targets_changed({revision(1), revision(9), {}});
+    store.targets_changed({revision(9), revision(10), {{target_id("t0"), std::nullopt}}});
+    EXPECT_EQ(status("/a/1"), 503U);
+}
+
+TEST_F(host_case, answers_look_ups_with_itself)
+{
+    configure(1, "/a/");
+    list({});
+    run_until(
+        loop, [] { return false; }, 2 * host_view::tick_interval); // its first report
+    auto const answer = ask(directory_address, "/lookup");
+    EXPECT_EQ(answer.response.result_int(), 200U);
+    EXPECT_EQ(answer.response.body(), nlohmann::json({client_address}).dump());
+}
+
+TEST_F(host_case, cuts_off_nothing_when_it_is_told_to_stop)
+{
+    constexpr milliseconds work{600};
+    boost::asio::steady_timer finish(loop);
+    std::optional<exchange_result> got;
+    // A target that answers late: the script blocks nothing, the answer is sent by a second write.
+    scripted_server target(loop, [&](std::string const&) {
+        return scripted_answer{"HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+                               after_bytes::keep};
+    });
+    configure(1, "/a/");
+    list({&target});
+    auto const where = parse_address(client_address);
+    auto const connection = std::make_shared<exchange_connection>(
+        loop,
+        http_endpoint(boost::asio::ip::make_address(where->ip),
+                      static_cast<std::uint16_t>(where->port)),
+        exchange_limits{});
+    http_request request(boost::beast::http::verb::put, "/a/1", 11);
+    request.set(boost::beast::http::field::host, "desk.example");
+    request.set("Attempt", "a1");
+    request.prepare_payload();
+    connection->exchange(std::move(request), nullptr,
+                         [&](exchange_result result) { got = std::move(result); });
+    ASSERT_TRUE(run_until(loop, [&] { return target.heads.size() == 1; }));
+    ::raise(SIGTERM);
+    finish.expires_after(work);
+    finish.async_wait([&](boost::system::error_code) { target.send_to_all("0\r\n\r\n"); });
+    ASSERT_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    EXPECT_EQ(got->response.result_int(), 200U) << got->detail;
+    EXPECT_EQ(got->response.body(), "body");
+    EXPECT_EQ(got->response[boost::beast::http::field::connection], "close");
+    EXPECT_EQ(ask(ready_address, "/ready").response.result_int(), 503U);
+}
+
+} // namespace
+} // namespace cove
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -73,12 +73,12 @@
                     exchange_end::answered,
                     "body",
                     false},
-        answer_case{"truncated",
-                    {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 9\r\n\r\nbody",
-                     after_bytes::close},
-                    exchange_end::broken,
-                    "",
-                    false},
+        answer_case{
+            "truncated",
+            {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 9\r\n\r\nbody", after_bytes::close},
+            exchange_end::broken,
+            "",
+            false},
         answer_case{"without_length_ended_by_close",
                     {"HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\nbody", after_bytes::close},
                     exchange_end::answered,
@@ -103,7 +103,8 @@
                     exchange_end::broken,
                     "",
                     false},
-        answer_case{"no_http", {"garbage\r\n\r\n", after_bytes::keep}, exchange_end::broken, "", false},
+        answer_case{
+            "no_http", {"garbage\r\n\r\n", after_bytes::keep}, exchange_end::broken, "", false},
         answer_case{"closed_unanswered", {"", after_bytes::close}, exchange_end::broken, "", false},
         answer_case{"announced_close",
                     {"HTTP/1.1 200 OK\r\nAttempt: a1\r\nConnection: close\r\nContent-Length: "
@@ -173,8 +174,8 @@
     {
         int const port = free_port();
         EXPECT_TRUE(server.start("127.0.0.1:" + std::to_string(port)).has_value());
-        client.connect({boost::asio::ip::make_address("127.0.0.1"),
-                        static_cast<std::uint16_t>(port)});
+        client.connect(
+            {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)});
         client.non_blocking(true);
     }
 
@@ -262,8 +263,8 @@
     cases, server_refusals,
     testing::Values(
         bad_request_case{"header_too_long", long_header.c_str(), " 431 "},
-        bad_request_case{"body_too_long",
-                         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n", " 413 "},
+        bad_request_case{"body_too_long", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n",
+                         " 413 "},
         bad_request_case{"not_http", "nonsense\r\n\r\n", " 400 "},
         bad_request_case{"two_lengths",
                          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: "
@@ -280,7 +281,8 @@
     send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(run_until(loop, [&] { return !calls.empty(); }));
     client.close();
-    EXPECT_TRUE(run_until(loop, [&] { return left == 1; }, milliseconds{500}));
+    EXPECT_TRUE(run_until(
+        loop, [&] { return left == 1; }, milliseconds{500}));
     server.respond(calls[0], http_response(http::status::ok, 11)); // too late, and no harm
 }
 
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -54,7 +54,8 @@
         for (send_to_host const& effect : effects) {
             ++messages[from];
             auto const to = hosts.find(effect.ip);
-            bool const lost = dead.contains(effect.ip) || cut.contains(from) != cut.contains(effect.ip);
+            bool const lost =
+                dead.contains(effect.ip) || cut.contains(from) != cut.contains(effect.ip);
             if (to != hosts.end() && !lost) {
                 carry(effect.ip, to->second.receive(std::get<gossip>(effect.message), now));
             }
@@ -140,7 +141,7 @@
     all.pass(milliseconds{10'000});
     constexpr int ticks = 40;
     constexpr int other_zones = 2;
-    EXPECT_EQ(all.messages["ip-a2"], ticks);                          // to its neighbour
+    EXPECT_EQ(all.messages["ip-a2"], ticks);                           // to its neighbour
     EXPECT_EQ(all.messages["ip-a1"], ticks + ticks / 4 * other_zones); // and for its zone
 }
 
@@ -196,8 +197,8 @@
     entry.cold_left = milliseconds{700};
     entry.life = target_life(1234567890123);
 
-    auto const heard = decode_host_message(
-        encode_host_message(gossip{node_id("a1"), {full}, true}), "peer");
+    auto const heard =
+        decode_host_message(encode_host_message(gossip{node_id("a1"), {full}, true}), "peer");
     ASSERT_TRUE(heard);
     auto const& back = std::get<gossip>(*heard).reports.at(0);
     EXPECT_EQ(back.name, full.name);
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,160 @@
+/** @file The entry host against small stand-ins of the platform's store and of targets. */
+
+#include "platform/object_json.h"
+#include "platform/store_client.h"
+#include "platform/wire_names.h"
+
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+using json = nlohmann::json;
+
+json target_object()
+{
+    return {{"metadata", {{"name", "i-1"}, {"revision", 4}}},
+            {"spec",
+             {{"address", "10.0.0.1:80"},
+              {"born", 1780186839160},
+              {"info", {{"service", "desk"}, {"slots", 3}, {"zone", "east"}}},
+              {"status", {{"cold_remaining", "1500ms"}, {"seq", 1}, {"state", "draining"}}}}},
+            {"status", nullptr}};
+}
+
+TEST(read_target, decodes_what_a_target_says)
+{
+    auto const object = read_stored(target_object());
+    ASSERT_TRUE(object);
+    auto const target = read_target(*object);
+    ASSERT_TRUE(target) << to_string(target.error());
+    EXPECT_EQ(target->id, target_id("i-1"));
+    EXPECT_EQ(target->service, service_id("desk"));
+    EXPECT_EQ(target->slots, 3);
+    EXPECT_EQ(target->phase, target_phase::leaving);
+    EXPECT_EQ(target->cold_left, milliseconds{1500});
+    EXPECT_EQ(target->life, target_life(1780186839160));
+}
+
+struct malformed_case {
+    char const* name;
+    char const* place; ///< JSON pointer of the field
+    json value;        ///< null: the field is missing
+    char const* named; ///< part of the error
+};
+
+class malformed_targets : public testing::TestWithParam<malformed_case> {};
+
+TEST_P(malformed_targets, name_no_target_and_the_place)
+{
+    json object = target_object();
+    json::json_pointer const place(GetParam().place);
+    if (GetParam().value.is_null()) {
+        object[place.parent_pointer()].erase(place.back());
+    }
+    else {
+        object[place] = GetParam().value;
+    }
+    auto const stored = read_stored(object);
+    ASSERT_TRUE(stored);
+    auto const target = read_target(*stored);
+    ASSERT_FALSE(target);
+    EXPECT_NE(to_string(target.error()).find(GetParam().named), std::string::npos)
+        << to_string(target.error());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, malformed_targets,
+    testing::Values(
+        malformed_case{"no_address", "/spec/address", nullptr, "servers/i-1/spec/address"},
+        malformed_case{"address_of_another_form", "/spec/address", "desk:80", "IP:port"},
+        malformed_case{"address_no_text", "/spec/address", 7, "expected text"},
+        malformed_case{"no_info", "/spec/info", nullptr, "info"},
+        malformed_case{"no_service", "/spec/info/service", nullptr, "info/service"},
+        malformed_case{"slots_text", "/spec/info/slots", "3", "info/slots"},
+        malformed_case{"slots_zero", "/spec/info/slots", 0, "info/slots"},
+        malformed_case{"slots_fraction", "/spec/info/slots", 2.5, "info/slots"},
+        malformed_case{"unknown_state", "/spec/status/state", "sleeping", "ready or draining"},
+        malformed_case{"no_status", "/spec/status", nullptr, "status"},
+        malformed_case{"cold_without_unit", "/spec/status/cold_remaining", "15", "unit"},
+        malformed_case{"born_text", "/spec/born", "today", "born"},
+        malformed_case{"spec_list", "/spec", json::array(), "spec"}),
+    [](auto const& info) { return info.param.name; });
+
+TEST(read_stored, refuses_objects_without_a_name)
+{
+    EXPECT_FALSE(read_stored(json("text")));
+    EXPECT_FALSE(read_stored(json{{"metadata", json::object()}}));
+}
+
+json route_resource(std::string const& name, json spec)
+{
+    json base{{"host", "desk.example"}, {"path_prefix", "/" + name + "/"}, {"kind", "idempotent"},
+              {"timeout", "800ms"},     {"target_latency", "0.3s"},        {"priority", 1},
+              {"max_attempts", 2}};
+    base.update(spec);
+    return {{"resource_kind", "routes"}, {"metadata", {{"name", name}}}, {"spec", base}};
+}
+
+json config_spec(std::string const& version = "0000001a")
+{
+    return {
+        {"version", version},
+        {"resources",
+         {route_resource("one", {{"service", "desk"}, {"sticky_sessions", true}}),
+          route_resource("two", {{"traffic_split",
+                                  {{{"service", "desk"}, {"weight", 90}},
+                                   {{"service", "store"}, {"weight", 10}}}},
+                                 {"kind", "non_idempotent"},
+                                 {"home_regions", {"east"}}}),
+          {{"resource_kind", "services"},
+           {"metadata", {{"name", "desk"}}},
+           {"spec",
+            {{"health_path", "/h"}, {"max_conns", 9}, {"cold_start", "3s"}, {"cold_per_s", 1.5}}}},
+          {{"resource_kind", "limits"},
+           {"metadata", json::object()},
+           {"spec",
+            {{"max_header_bytes", 1000},
+             {"max_body_bytes", 2000},
+             {"header_timeout", "3s"},
+             {"idle_timeout", "15s"}}}}}}};
+}
+
+TEST(read_config, decodes_routes_services_and_limits)
+{
+    auto const document = read_config_document(config_spec().dump());
+    ASSERT_TRUE(document) << to_string(document.error());
+    routing_config const& config = document->config;
+    EXPECT_EQ(config.version, generation(26));
+    ASSERT_EQ(config.routes.size(), 2U);
+    EXPECT_TRUE(config.routes[0].idempotent);
+    EXPECT_TRUE(config.routes[0].sticky);
+    EXPECT_EQ(config.routes[0].objective, milliseconds{300});
+    EXPECT_EQ(config.routes[1].parts.size(), 2U);
+    EXPECT_FALSE(config.routes[1].idempotent);
+    EXPECT_EQ(config.routes[1].home_regions, std::vector{region_id("east")});
+    EXPECT_EQ(config.services.at(service_id("desk")).cold_period, milliseconds{3000});
+    EXPECT_EQ(config.limits.idle_timeout, milliseconds{15'000});
+}
+
+TEST(read_config, names_the_place_of_an_error)
+{
+    for (auto const& [field, value] :
+         std::map<std::string, json>{{"kind", "sometimes"},
+                                     {"timeout", 800},
+                                     {"priority", -1},
+                                     {"traffic_split", json::array()}}) {
+        json spec = config_spec();
+        json& route = spec["resources"][1]["spec"];
+        route[field] = value;
+        auto const document = read_config_document(spec.dump());
+        ASSERT_FALSE(document) << field;
+        EXPECT_NE(to_string(document.error()).find("resources/1/spec/" + field), std::string::npos)
+            << to_string(document.error());
+    }
+    EXPECT_FALSE(read_config_document("{cut short"));
+    EXPECT_FALSE(read_config_document(config_spec("xyz").dump()));
+}
+
+} // namespace
+} // namespace cove
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,6 +1,6 @@
 #include "local_store.h"
-#include "store/object_follower.h"
 #include "store/object_client.h"
+#include "store/object_follower.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -48,6 +48,16 @@
         return "127.0.0.1:" + std::to_string(endpoint().port());
     }
 
+    /** Sends more bytes on every open connection. */
+    void send_to_all(std::string const& more)
+    {
+        for (auto const& weak : sessions_) {
+            if (auto const open = weak.lock()) {
+                boost::asio::write(open->socket, boost::asio::buffer(more));
+            }
+        }
+    }
+
     std::vector<std::string> heads; ///< that came, in order
     int connections = 0;
     int closed_by_peer = 0; ///< connections that the other side ended
@@ -79,19 +89,19 @@
         void answer(scripted_answer what)
         {
             bytes = std::move(what.bytes);
-            boost::asio::async_write(
-                socket, boost::asio::buffer(bytes),
-                [self = shared_from_this(), then = what.then](boost::system::error_code,
-                                                              std::size_t) {
-                    if (then == after_bytes::keep) {
-                        self->read();
-                        return;
-                    }
-                    if (then == after_bytes::reset) {
-                        self->socket.set_option(boost::asio::socket_base::linger(true, 0));
-                    }
-                    self->socket.close();
-                });
+            boost::asio::async_write(socket, boost::asio::buffer(bytes),
+                                     [self = shared_from_this(),
+                                      then = what.then](boost::system::error_code, std::size_t) {
+                                         if (then == after_bytes::keep) {
+                                             self->read();
+                                             return;
+                                         }
+                                         if (then == after_bytes::reset) {
+                                             self->socket.set_option(
+                                                 boost::asio::socket_base::linger(true, 0));
+                                         }
+                                         self->socket.close();
+                                     });
         }
 
         scripted_server& server;
@@ -102,16 +112,20 @@
 
     void accept()
     {
-        acceptor_.async_accept(loop_, [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
-            if (!error) {
-                ++connections;
-                std::make_shared<session>(*this, std::move(socket))->read();
-                accept();
-            }
-        });
+        acceptor_.async_accept(
+            loop_, [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+                if (!error) {
+                    ++connections;
+                    auto const opened = std::make_shared<session>(*this, std::move(socket));
+                    sessions_.push_back(opened);
+                    opened->read();
+                    accept();
+                }
+            });
     }
 
     boost::asio::io_context& loop_;
+    std::vector<std::weak_ptr<session>> sessions_;
     script answers_;
     boost::asio::ip::tcp::acceptor acceptor_;
 };
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -87,8 +87,7 @@
             for (int i = 0; i < 50; ++i) {
                 bench.now += milliseconds{20};
                 bench.arrive();
-                sent += static_cast<int>(
-                    traffic_bench::only<send_attempt>(bench.effects).size());
+                sent += static_cast<int>(traffic_bench::only<send_attempt>(bench.effects).size());
             }
             most = std::max(most, sent);
         }
