--- a/src/http/loop_timers.cpp
+++ b/src/http/loop_timers.cpp
@@ -65,7 +65,8 @@
         due_.erase(due.id);
         auto const fn = due.fn;
         if (due.interval > microseconds{0}) {
-            add(now + due.interval, std::move(due));
+            mono_time const next = now + due.interval;
+            add(next, std::move(due));
         }
         fn();
     }
--- a/src/store/store_api.h
+++ b/src/store/store_api.h
@@ -1,5 +1,5 @@
 #pragma once
-/** @file Names of the platform's object API; docs/platform.md describes it. */
+/** @file Names of the platform's object API; docs/object-store.md describes it. */
 
 namespace cove::store_api {
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -87,7 +87,7 @@
     EXPECT_FALSE(read_stored(json{{"metadata", json::object()}}));
 }
 
-json route_resource(std::string const& name, json spec)
+json route_resource(std::string const& name, json const& spec)
 {
     json base{{"host", "desk.example"}, {"path_prefix", "/" + name + "/"}, {"kind", "idempotent"},
               {"timeout", "800ms"},     {"target_latency", "0.3s"},        {"priority", 1},
