Give targets that joined or recovered an object now and then

A test fails before and passes after. Failed first try: counting the new target as warm for its own objects; slower-looking targets still lost to those with a history.

--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -12,6 +12,18 @@
 constexpr double failure_cost = 2;      ///< a failed attempt costs about that many objectives
 constexpr double silent_cost_ms = 2000; ///< a silent target is only for trials
 
+/**
+ * Objects that are warm elsewhere would never come to a target that joined or recovered; it gets
+ * one now and then, or it is of no use when others fail.
+ */
+bool worth_a_trial(placement_candidate const& candidate)
+{
+    constexpr double sound_failure_rate = 0.1;
+    constexpr double sound_slowness = 1.5;
+    return candidate.idle && !candidate.silent && candidate.failure_rate < sound_failure_rate &&
+           candidate.slowness < sound_slowness;
+}
+
 double warm_share(placement_query const& query, placement_option const& option)
 {
     if (option.object_age) {
@@ -31,6 +43,7 @@
     out.slowness = target.slowness(now);
     out.failure_rate = target.failure_rate(now);
     out.silent = target.silent(now);
+    out.idle = target.idle(now);
     return out;
 }
 
@@ -74,6 +87,9 @@
                       candidate.failure_rate * failure_cost *
                           static_cast<double>(query.route.objective.count()) +
                       (candidate.silent ? silent_cost_ms : 0);
+        if (keyed && option.rank == 0 && worth_a_trial(candidate)) {
+            option.cost = 0;
+        }
         options.push_back(option);
     }
     std::sort(options.begin(), options.end(),
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -27,6 +27,7 @@
     double failure_rate = 0;
     double extra_ms = 0; ///< time on the way beyond that within the zone
     bool silent = false;
+    bool idle = false; ///< got nothing for a while
 
     [[nodiscard]] bool full() const { return load >= slots; }
 };
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds trial_interval{400}; ///< between attempts at a silent target
 constexpr double busy_share = 0.75;         ///< a refusal below this load is a fault of the target
 constexpr milliseconds one_second{1000};
+/// A target without work is known too little to be relied on when others fail.
+constexpr milliseconds idle_time{1500};
 
 } // namespace
 
@@ -94,6 +96,11 @@
     });
 }
 
+bool target_state::idle(mono_time now) const
+{
+    return now - last_sent_ > idle_time;
+}
+
 bool target_state::has_room(double cold_share, mono_time now)
 {
     if (!accepts(now) || full(now)) {
@@ -133,6 +140,7 @@
 {
     running_[id] = {now, expected_ms};
     sent_.add(now);
+    last_sent_ = now;
     if (!object.value.empty()) {
         objects_.touch(object);
     }
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -70,6 +70,9 @@
     /** @return requests that it runs or holds, those of other hosts as last reported. */
     [[nodiscard]] double load(mono_time now) const;
 
+    /** @return whether this host has sent nothing there for a while. */
+    [[nodiscard]] bool idle(mono_time now) const;
+
     /** @return observed time relative to other targets; 1 is normal. */
     [[nodiscard]] double slowness(mono_time now) const { return slowness_.at(now); }
 
@@ -104,7 +107,8 @@
     rate_window sent_; ///< requests of the last second
     warm_objects objects_;
     mono_time cold_until_{};
-    mono_time resume_at_{};   ///< no new work before
+    mono_time resume_at_{}; ///< no new work before
+    mono_time last_sent_{};
     mono_time last_answer_{}; ///< anything that shows that it lives
     milliseconds pause_{};    ///< the next wait after a failed connection
     bool misplaced_ = false;  ///< another target has its address
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -38,6 +38,27 @@
     }
 }
 
+TEST(targets, that_join_get_some_work_though_all_objects_are_warm_elsewhere)
+{
+    traffic_bench bench;
+    bench.list(2, 8);
+    auto const serve_for = [&](milliseconds time) {
+        std::set<target_id> used;
+        for (milliseconds done{0}; done < time; done += milliseconds{50}) {
+            auto const id = bench.arrive("object" + std::to_string(done.count() / 50 % 20));
+            auto const target = bench.one<send_attempt>()->target;
+            used.insert(target);
+            bench.now += milliseconds{50};
+            bench.end(id, target, attempt_end::succeeded);
+        }
+        return used;
+    };
+    serve_for(milliseconds{6000});
+    bench.entries.push_back(bench.target("joined", "home", 8));
+    bench.feed(targets_listed{bench.entries});
+    EXPECT_TRUE(serve_for(milliseconds{3000}).contains(target_id("joined")));
+}
+
 TEST(targets, that_leave_get_nothing)
 {
     traffic_bench bench;
