--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -38,17 +38,13 @@
         .ip_ports("seeds", &s::seeds, "addresses of some entry hosts; only their IP counts")
         .ip_port("store_address", &s::store_address, "the platform's store")
         .duration("heartbeat", &s::heartbeat, "between a target's reports to the store")
-        .duration("contact", &s::contact, "after a fault, until the promises bind again")
         .duration("drain", &s::drain, "after which a leaving target gets no new work")
         .duration("grace", &s::grace, "between SIGTERM and SIGKILL")
         .duration("answer_lifetime_max", &s::answer_lifetime_max,
                   "longest time that a look-up answer counts")
-        .number("processor_share", &s::processor_share, "cores that this host may use")
         .number("repeat_ratio", &s::repeat_ratio, "repeats per request, all hosts together")
         .duration("repeat_window", &s::repeat_window, "over which repeats are counted")
         .number("repeat_slack", &s::repeat_slack, "repeats besides, all hosts together")
-        .number("cold_overage", &s::cold_overage,
-                "bound on requests to a cold target over its rate")
         .number("shift_cap", &s::shift_cap,
                 "share of a region's traffic that may change region in 2 s");
     return table;
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -24,15 +24,12 @@
     std::vector<std::string> seeds; ///< IP:port; only the IP counts
     std::string store_address;
     milliseconds heartbeat{};
-    milliseconds contact{};
     milliseconds drain{};
     milliseconds grace{};
     milliseconds answer_lifetime_max{};
-    double processor_share = 1; ///< cores
     double repeat_ratio = 0;
     milliseconds repeat_window{};
     double repeat_slack = 0;
-    double cold_overage = 1;
     double shift_cap = 1;
 };
 
--- a/src/route/route_table.cpp
+++ b/src/route/route_table.cpp
@@ -20,8 +20,7 @@
 route_table::route_table(routing_config const& config)
 {
     for (route_config const& route : config.routes) {
-        hosts_[host_key(route.host)][route.path_prefix] =
-            std::make_shared<route_config const>(route);
+        hosts_[host_key(route.host)][route.prefix] = std::make_shared<route_config const>(route);
     }
 }
 
--- a/src/route/route_type.h
+++ b/src/route/route_type.h
@@ -24,7 +24,7 @@
 struct route_config {
     route_id name;
     std::string host;
-    std::string path_prefix;  ///< begins and ends with a slash
+    std::string prefix;       ///< begins and ends with a slash
     bool idempotent = false;  ///< may run more than once
     milliseconds timeout{};   ///< longest time that a request is kept waiting
     milliseconds objective{}; ///< an answer within it is worth most
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -18,7 +18,6 @@
     zone_id zone;
     std::map<zone_id, region_id> regions; ///< of every zone
     repeat_terms repeats;
-    double cold_overage = 1; ///< requests to a cold target that are borne, relative to its rate
 };
 
 /** One request under way. */
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -24,15 +24,12 @@
                             {"seeds", nlohmann::json::array()},
                             {"store_address", "127.0.0.1:9"},
                             {"heartbeat", "1500ms"},
-                            {"contact", "3s"},
                             {"drain", "2s"},
                             {"grace", "2s"},
                             {"answer_lifetime_max", "5s"},
-                            {"processor_share", 0.2},
                             {"repeat_ratio", 0.2},
                             {"repeat_window", "10s"},
                             {"repeat_slack", 50},
-                            {"cold_overage", 1.5},
                             {"shift_cap", 0.15}};
     if (!changed.empty()) {
         settings[changed] = nlohmann::json::parse(value);
@@ -142,7 +139,7 @@
         route_config route;
         route.name = route_id("route");
         route.host = "desk.example";
-        route.path_prefix = prefix;
+        route.prefix = prefix;
         route.idempotent = idempotent;
         route.timeout = milliseconds{1000};
         route.objective = milliseconds{500};
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -13,7 +13,7 @@
     route_config out;
     out.name = route_id(std::move(name));
     out.host = std::move(host);
-    out.path_prefix = std::move(prefix);
+    out.prefix = std::move(prefix);
     out.parts = {{service_id("desk"), 1}};
     out.home_regions = std::move(homes);
     return out;
--- a/tests/traffic/traffic_bench.h
+++ b/tests/traffic/traffic_bench.h
@@ -13,8 +13,7 @@
     explicit traffic_bench(repeat_terms repeats = {0.2, milliseconds{10'000}, 50})
         : reducer({zone_id("home"),
                    {{zone_id("home"), region_id("r")}, {zone_id("away"), region_id("s")}},
-                   repeats,
-                   1.5})
+                   repeats})
     {
         route.name = route_id("route");
         route.idempotent = true;
