Find the deployment's template from any working folder in the host test

Cause: the test opened deploy/settings.json relative to the folder it ran in; ctest runs in the build folder (1 of 275 tests failed there). The assertion stays.

--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -40,8 +40,8 @@
 TEST(host_settings, are_read_from_the_deployments_template)
 {
     // Placeholders become the words of the platform; here a word of the right form does.
-    std::ifstream file("deploy/settings.json");
-    ASSERT_TRUE(file) << "run from the repository";
+    std::ifstream file(COVE_SOURCE_DIR "/deploy/settings.json");
+    ASSERT_TRUE(file);
     std::string const text{std::istreambuf_iterator<char>(file), {}};
     std::string filled;
     for (std::size_t at = 0; at < text.size();) {
