--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -81,7 +81,11 @@
         double const ahead = candidate.load + candidate.queued - candidate.slots + 1;
         option.wait_ms =
             std::max(0.0, ahead) / candidate.slots * query.service_mean_ms * candidate.slowness;
-        option.cost = option.wait_ms + option.service_ms * (1 + query.load_price) +
+        double const share = keyed && option.rank == 0 ? 1 : warm_share(query, option);
+        double const evicted_ms = (1 - share) * std::max(0.0, times.expected(0) - times.expected(1));
+        double const kept_ms =
+            (times.expected(share) + evicted_ms) * candidate.slowness + candidate.extra_ms;
+        option.cost = option.wait_ms + kept_ms * (1 + query.load_price) +
                       rank_step_ms * static_cast<double>(option.rank) +
                       candidate.load / candidate.slots +
                       candidate.failure_rate * failure_cost *
