Serve comebacks before new requests of their kind; try no target that is full

Cause: a request that came back after its objective ranked behind new ones and was refused again, after which most clients give up. A target that this host had not used for 1.5 s got objects as a trial even when other hosts had filled it, in zones of many hosts the common case.

Change: a comeback keeps its place by priority, whatever it has waited. Trials go to targets with a free slot only.

Tests: waiting.takes_a_late_comeback…, placement.keeps_an_object….

--- a/src/directory/client_shares.cpp
+++ b/src/directory/client_shares.cpp
@@ -73,7 +73,7 @@
     {
         std::map<zone_id, double> left;
         for (steered_zone const& zone : zones_) {
-            double const home = spare_.at(zone.zone) + negligible < traffic_ ? 0 : 1;
+            double const home = std::min(1.0, spare_.at(zone.zone) / traffic_);
             left[zone.zone] = give(zone, zone.zone, home) ? 1 - home : 1;
         }
         for (steered_zone const& zone : zones_) {
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -20,8 +20,8 @@
 {
     constexpr double sound_failure_rate = 0.1;
     constexpr double sound_slowness = 1.5;
-    return candidate.idle && !candidate.silent && candidate.failure_rate < sound_failure_rate &&
-           candidate.slowness < sound_slowness;
+    return candidate.idle && !candidate.full() && !candidate.silent &&
+           candidate.failure_rate < sound_failure_rate && candidate.slowness < sound_slowness;
 }
 
 double warm_share(placement_query const& query, placement_option const& option)
@@ -82,7 +82,8 @@
         option.wait_ms =
             std::max(0.0, ahead) / candidate.slots * query.service_mean_ms * candidate.slowness;
         double const share = keyed && option.rank == 0 ? 1 : warm_share(query, option);
-        double const evicted_ms = (1 - share) * std::max(0.0, times.expected(0) - times.expected(1));
+        double const evicted_ms =
+            (1 - share) * std::max(0.0, times.expected(0) - times.expected(1));
         double const kept_ms =
             (times.expected(share) + evicted_ms) * candidate.slowness + candidate.extra_ms;
         option.cost = option.wait_ms + kept_ms * (1 + query.load_price) +
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -314,8 +314,9 @@
 
 bool traffic::hopeless(pending_request const& request) const
 {
-    auto const waited = now_ - request.arrived + request.spent_before;
-    return waited >= request.route->objective;
+    auto const waited = now_ - request.arrived;
+    // Clients come back once or twice: a comeback that is refused again is mostly lost.
+    return !request.came_back && waited >= request.route->objective;
 }
 
 bool traffic::comes_before(pending_request const& a, pending_request const& b) const
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -218,6 +218,24 @@
     EXPECT_LT(at_bad, 10);
 }
 
+TEST(placement, keeps_an_object_with_its_first_target_under_overload)
+{
+    traffic_bench bench;
+    bench.list(2);
+    target_state first(bench.target("t0", "home", 2), bench.now);
+    target_state second(bench.target("t1", "home", 2), bench.now);
+    std::vector candidates{survey(first, bench.now), survey(second, bench.now)};
+    candidates[0].load = 2; // full, while the second is free
+    object_key const object("o");
+    // Too many objects: even first targets were cold lately, and spreading makes more so.
+    placement_query const query{bench.route, object, 1, 200, 32, 0};
+    auto const options = rank_targets(query, route_time(bench.route.objective), candidates, {0, 1});
+    EXPECT_EQ(options.at(0).rank, 0U);
+    candidates[0].queued = 20; // no object is worth that wait
+    auto const spread = rank_targets(query, route_time(bench.route.objective), candidates, {0, 1});
+    EXPECT_EQ(spread.at(0).rank, 1U);
+}
+
 TEST(waiting, serves_the_more_urgent_first)
 {
     traffic_bench bench;
@@ -246,6 +264,33 @@
     EXPECT_GE(refused, 15);
 }
 
+TEST(waiting, takes_a_late_comeback_before_a_new_request_of_its_kind)
+{
+    traffic_bench bench;
+    bench.list(1, 1);
+    auto const running = bench.arrive("a", "running");
+    auto const target = bench.one<send_attempt>()->target;
+    std::string refused;
+    for (int i = 0; i < 20 && refused.empty(); ++i) {
+        std::string const client = "client" + std::to_string(i);
+        bench.arrive("b", client);
+        refused = bench.one<answer_self>() ? client : "";
+    }
+    ASSERT_FALSE(refused.empty());
+    bench.end(running, target, attempt_end::succeeded);
+    while (auto const sent = bench.one<send_attempt>()) {
+        bench.end(sent->id, target, attempt_end::succeeded);
+    }
+    bench.now += bench.route.objective + milliseconds{50}; // too late for the objective
+    auto const holder = bench.arrive("b", "holder");
+    bench.arrive("b", "new");
+    auto const back = bench.arrive("b", refused);
+    ASSERT_FALSE(bench.one<answer_self>());
+    bench.end(holder, target, attempt_end::succeeded);
+    ASSERT_TRUE(bench.one<send_attempt>());
+    EXPECT_EQ(bench.one<send_attempt>()->id, back);
+}
+
 TEST(waiting, takes_a_comeback_before_a_new_request_of_its_kind)
 {
     traffic_bench bench;
