Ask for whole lists only when a change stays missing; let followers list at the first start

With 3,000 targets some peer is always ahead by a change, so every host counted as behind for good and pulled the whole list each second. At the first start each of the 300 hosts listed all targets at the store.

Change: lag_watch remembers the change that is missing and asks only if that one stays missing; what a whole zone misses its followers ask other zones for. On the first start, which is before traffic, only followers list and the rest ask them; a host that starts later lists at once as before.

Tests: lag_watch.*, follower_case.waits_with_its_list_until_it_is_to_watch.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -23,9 +23,12 @@
     timers_.cancel(next_);
 }
 
-void follower::start()
+void follower::start(bool at_once)
 {
-    ask();
+    waits_ = !at_once;
+    if (at_once) {
+        ask();
+    }
 }
 
 void follower::set_active(bool active)
@@ -35,7 +38,11 @@
     }
     active_ = active;
     if (!listed_) {
-        return; // the list is under way, or is tried again
+        if (active && waits_) {
+            waits_ = false;
+            ask();
+        }
+        return; // otherwise the list is under way, or is tried again
     }
     timers_.cancel(next_);
     if (active) {
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -44,8 +44,11 @@
     follower(follower&&) = delete;
     follower& operator=(follower&&) = delete;
 
-    /** Lists once, active or not: a host that starts must not wait for others. */
-    void start();
+    /**
+     * @param at_once list now, active or not: a host that starts amid traffic must not wait for
+     * others. Otherwise the list waits until this host is to watch.
+     */
+    void start(bool at_once);
 
     /** Watches, or leaves it to others. */
     void set_active(bool active);
@@ -65,6 +68,7 @@
     revision at_;
     bool active_ = false;
     bool listed_ = false;
+    bool waits_ = false; ///< the first list waits until this is active
     bool up_ = true;
     bool asking_ = false;
     int failures_ = 0;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -188,9 +188,12 @@
     }
     log_event("started", {{"zone", settings_.zone}, {"clients", settings_.client_address}});
     watch_signals();
-    config_follower_.start();
-    target_follower_.start();
-    evacuation_follower_.start();
+    // When all hosts start together, the few that follow the store list and the rest ask them:
+    // 300 hosts that listed 3,000 targets each cost more than a day's other control.
+    bool const at_once = !settings_.first_start;
+    config_follower_.start(at_once);
+    target_follower_.start(at_once);
+    evacuation_follower_.start(at_once);
     register_self(0);
     timers_.every(host_view::tick_interval, [this] { tick(); });
     timers_.every(steer_interval, [this] { steer(read_clocks().mono); });
@@ -203,10 +206,10 @@
     if (now < started_ + first_duty_wait) {
         return; // the hosts of the zone are not known yet
     }
-    bool const follows = view_.follows_store(followers_in_zone, now);
-    config_follower_.set_active(follows);
-    target_follower_.set_active(follows);
-    evacuation_follower_.set_active(follows);
+    follows_ = view_.follows_store(followers_in_zone, now);
+    config_follower_.set_active(follows_);
+    target_follower_.set_active(follows_);
+    evacuation_follower_.set_active(follows_);
 }
 
 void entry_host::register_self(int failures)
@@ -335,14 +338,20 @@
     return config_ && targets_known_;
 }
 
+known_versions entry_host::versions() const
+{
+    return {config_ ? config_->config.version : generation{}, targets_.at(), evacuations_at_};
+}
+
 own_state entry_host::state() const
 {
     own_state own;
     own.leaving = leaving_;
     own.ready = ready();
-    own.config_version = config_ ? config_->config.version : generation{};
-    own.targets_at = targets_.at();
-    own.evacuations_at = evacuations_at_;
+    known_versions const known = versions();
+    own.config_version = known.config;
+    own.targets_at = known.targets;
+    own.evacuations_at = known.evacuations;
     own.store_lost = !config_follower_.reachable() || !target_follower_.reachable() ||
                      !evacuation_follower_.reachable();
     for (service_load const& load : carrier_.loads()) {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -4,6 +4,7 @@
 
 #include "directory/lookup.h"
 #include "directory/room_division.h"
+#include "follow/lag_watch.h"
 #include "host/host_settings.h"
 #include "host/request_carrier.h"
 #include "host/store_port.h"
@@ -77,6 +78,7 @@
     void steer(mono_time now);
     [[nodiscard]] own_state state() const;
     [[nodiscard]] bool ready() const;
+    [[nodiscard]] known_versions versions() const;
     [[nodiscard]] std::vector<remote_room> rooms(std::vector<roster_host> const& hosts,
                                                  mono_time now) const;
 
@@ -108,8 +110,8 @@
     share_mover shares_;
     std::map<zone_id, zone_shares> steered_;
     mono_time started_;
-    mono_time behind_since_ = mono_time::max();
-    mono_time pulled_at_{};
+    lag_watch lag_;
+    bool follows_ = false; ///< this host is one of those that watch the store
     bool leaving_ = false;
 };
 
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr milliseconds behind_patience{600}; ///< own watches mostly bring it within that time
-constexpr milliseconds pull_interval{1000};  ///< an answer to a pull comes sooner or is lost
+/// What a zone missed, its followers ask other zones for; the others wait for them.
+constexpr milliseconds outside_patience{2000};
 
 } // namespace
 
@@ -76,41 +77,37 @@
     return out;
 }
 
-/** Asks a peer for what it has and this host's own watches have not brought. */
+/** Asks a peer for what it has and neither own watches nor pushes have brought. */
 void entry_host::pull_if_behind(mono_time now)
 {
-    own_state const own = state();
-    std::optional<std::string> best;
-    pull wanted;
-    wanted.sender_ip = settings_.ip;
-    auto const consider = [&](auto const& source) {
-        bool const config = source.config_version > own.config_version;
-        bool const targets = source.targets_at > own.targets_at;
-        bool const evacuations = source.evacuations_at > own.evacuations_at;
-        if (config || targets || evacuations) {
-            best = source.ip;
-            wanted.config = config;
-            wanted.targets = targets;
-            wanted.evacuations = evacuations;
+    known_versions const own = versions();
+    known_versions best = own;
+    std::string source_ip;
+    bool outside = false;
+    auto const consider = [&](auto const& source, bool other_zone) {
+        known_versions const its{source.config_version, source.targets_at, source.evacuations_at};
+        if (!best.covers(its)) {
+            best = its;
+            source_ip = source.ip;
+            outside = other_zone;
         }
     };
-    for (zone_status const& zone : view_.zones(now)) {
-        if (zone.zone != zone_id(settings_.zone)) {
-            consider(zone);
-        }
-    }
     for (host_report const& host : view_.zone_hosts(now)) {
-        consider(host); // hosts of this zone come last and so go first
+        consider(host, false);
     }
-    if (!best) {
-        behind_since_ = mono_time::max();
-        return;
+    if (source_ip.empty()) {
+        for (zone_status const& zone : view_.zones(now)) {
+            consider(zone, true);
+        }
+    }
+    milliseconds patience = ready() ? behind_patience : milliseconds{0};
+    if (outside && !follows_) {
+        patience = outside_patience;
     }
-    behind_since_ = std::min(behind_since_, now);
-    bool const urgent = !ready();
-    if ((urgent || now - behind_since_ >= behind_patience) && now - pulled_at_ >= pull_interval) {
-        pulled_at_ = now;
-        transport_.send(*best, encode_host_message(wanted));
+    if (lag_.ask_now(own, best, patience, now)) {
+        pull const wanted{settings_.ip, best.config > own.config, best.targets > own.targets,
+                          best.evacuations > own.evacuations};
+        transport_.send(source_ip, encode_host_message(wanted));
     }
 }
 
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -46,7 +46,9 @@
         .duration("repeat_window", &s::repeat_window, "over which repeats are counted")
         .number("repeat_slack", &s::repeat_slack, "repeats besides, all hosts together")
         .number("shift_cap", &s::shift_cap,
-                "share of a region's traffic that may change region in 2 s");
+                "share of a region's traffic that may change region in 2 s")
+        .flag("first_start", &s::first_start,
+              "whether all hosts start together, before there is traffic");
     return table;
 }
 
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -31,6 +31,7 @@
     milliseconds repeat_window{};
     double repeat_slack = 0;
     double shift_cap = 1;
+    bool first_start = false; ///< all hosts start together, before there is traffic
 };
 
 /** @return the table that reads, checks and explains them. */
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -105,8 +105,7 @@
     std::vector<roster_host> out;
     for (host_report const& host : zone_hosts(now)) {
         if (host.ready && !host.leaving) {
-            out.push_back(
-                {host.name, host.zone, host.ip, host.client_address, host.life, host.weight});
+            out.push_back({host.name, host.zone, host.ip, host.client_address, host.life});
         }
     }
     std::sort(out.begin(), out.end(), [](auto const& a, auto const& b) { return a.name < b.name; });
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -46,7 +46,6 @@
     out.set_targets_revision(report.targets_at.value);
     out.set_evacuations_revision(report.evacuations_at.value);
     out.set_store_lost(report.store_lost);
-    out.set_weight(static_cast<float>(report.weight));
     write_loads(out, report.loads);
     for (target_use const& use : report.running) {
         out.add_busy_targets(use.target);
@@ -69,7 +68,6 @@
     report.targets_at = revision(in.targets_revision());
     report.evacuations_at = revision(in.evacuations_revision());
     report.store_lost = in.store_lost();
-    report.weight = in.weight();
     report.loads = read_loads(in);
     for (int i = 0; i < std::min(in.busy_targets_size(), in.running_size()); ++i) {
         report.running.push_back({in.busy_targets(i), static_cast<int>(in.running(i))});
@@ -98,7 +96,6 @@
         item->set_ip(host.ip);
         item->set_client_address(host.client_address);
         item->set_life(host.life.value);
-        item->set_weight(static_cast<float>(host.weight));
     }
 }
 
@@ -118,7 +115,7 @@
         std::vector<roster_host> roster;
         for (wire::RosterHost const& host : in.roster()) {
             roster.push_back({node_id(host.name()), zone.zone, host.ip(), host.client_address(),
-                              host_life(host.life()), host.weight()});
+                              host_life(host.life())});
         }
         zone.roster = std::move(roster);
     }
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -45,7 +45,6 @@
     revision evacuations_at;
     std::vector<service_load_report> loads;
     bool store_lost = false; ///< its calls to the platform's store fail
-    double weight = 1;       ///< what it can carry, compared with other hosts
     std::vector<target_use> running;
 };
 
@@ -56,7 +55,6 @@
     std::string ip;
     std::string client_address; ///< IP:port
     host_life life;
-    double weight = 1; ///< what it can carry, compared with other hosts
     bool operator==(roster_host const&) const = default;
 };
 
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -119,6 +119,19 @@
                    });
     }
 
+    /** Adds a truth value. @return this table. */
+    settings_table& flag(std::string name, bool Settings::*field, std::string help)
+    {
+        return add(std::move(name), "true or false", std::move(help),
+                   [field](Settings& s, json const& v) {
+                       if (!v.is_boolean()) {
+                           return false;
+                       }
+                       s.*field = v.get<bool>();
+                       return true;
+                   });
+    }
+
     /** Adds a number of zero or more. @return this table. */
     settings_table& number(std::string name, double Settings::*field, std::string help)
     {
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -1,4 +1,5 @@
 #include "follow/follower.h"
+#include "follow/lag_watch.h"
 #include "support/scripted_server.h"
 
 #include <gtest/gtest.h>
@@ -59,7 +60,7 @@
 TEST_F(follower_case, lists_once_and_then_watches_from_there)
 {
     under_test.set_active(true);
-    under_test.start();
+    under_test.start(true);
     reply(follow_end::done, 40);
     ASSERT_TRUE(asked_again());
     EXPECT_EQ(watched_from, revision(40));
@@ -72,7 +73,7 @@
 TEST_F(follower_case, lists_anew_when_the_history_is_gone)
 {
     under_test.set_active(true);
-    under_test.start();
+    under_test.start(true);
     reply(follow_end::done, 40);
     ASSERT_TRUE(asked_again());
     reply(follow_end::history_gone);
@@ -82,7 +83,7 @@
 TEST_F(follower_case, tells_of_an_outage_and_its_end_once)
 {
     under_test.set_active(true);
-    under_test.start();
+    under_test.start(true);
     reply(follow_end::failed);
     ASSERT_TRUE(asked_again());
     reply(follow_end::failed);
@@ -96,7 +97,7 @@
 
 TEST_F(follower_case, lists_but_does_not_watch_while_others_do)
 {
-    under_test.start();
+    under_test.start(true);
     reply(follow_end::done, 40);
     EXPECT_FALSE(run_until(
         loop, [this] { return answer != nullptr; }, milliseconds{400}));
@@ -108,5 +109,50 @@
     EXPECT_EQ(watches, 2);
 }
 
+TEST_F(follower_case, waits_with_its_list_until_it_is_to_watch)
+{
+    under_test.start(false);
+    EXPECT_EQ(lists, 0);
+    under_test.set_active(true);
+    EXPECT_EQ(lists, 1);
+    under_test.set_active(false);
+    under_test.set_active(true);
+    EXPECT_EQ(lists, 1);
+}
+
+constexpr milliseconds patience{600};
+constexpr milliseconds tick{250};
+
+TEST(lag_watch, asks_for_what_stays_missing)
+{
+    lag_watch lag;
+    known_versions const own{generation(1), revision(10), revision(5)};
+    known_versions const peer{generation(1), revision(12), revision(5)};
+    mono_time now{seconds{100}};
+    EXPECT_FALSE(lag.ask_now(own, peer, patience, now)); // a push may be under way
+    EXPECT_TRUE(lag.ask_now(own, peer, patience, now + patience));
+    EXPECT_FALSE(lag.ask_now(own, peer, patience, now + patience + tick)); // just asked
+    EXPECT_TRUE(lag.ask_now(own, peer, patience, now + patience + seconds{1}));
+}
+
+TEST(lag_watch, lets_a_host_be_that_is_a_little_behind_all_the_time)
+{
+    lag_watch lag;
+    mono_time now{seconds{100}};
+    for (std::uint64_t change = 1; change < 100; ++change) {
+        known_versions const own{generation(1), revision(change), revision(1)};
+        known_versions const peer{generation(1), revision(change + 1), revision(1)};
+        EXPECT_FALSE(lag.ask_now(own, peer, patience, now)) << change;
+        now += tick;
+    }
+}
+
+TEST(lag_watch, asks_at_once_without_patience)
+{
+    lag_watch lag;
+    known_versions const peer{generation(3), revision(0), revision(0)};
+    EXPECT_TRUE(lag.ask_now({}, peer, milliseconds{0}, mono_time{seconds{100}}));
+}
+
 } // namespace
 } // namespace cove
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -30,7 +30,8 @@
                             {"repeat_ratio", 0.2},
                             {"repeat_window", "10s"},
                             {"repeat_slack", 50},
-                            {"shift_cap", 0.15}};
+                            {"shift_cap", 0.15},
+                            {"first_start", false}};
     if (!changed.empty()) {
         settings[changed] = nlohmann::json::parse(value);
     }
@@ -68,6 +69,7 @@
                                             {"ip", "\"\""},
                                             {"regions", "[]"},
                                             {"client_address", "\"x\""},
+                                            {"first_start", "1"},
                                             {"shift_cap", "-1"}}) {
         auto const read = host_settings_table().parse(settings_text(field, value), "boot.json");
         ASSERT_FALSE(read) << field;
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -256,7 +256,6 @@
     entry.cold_left = milliseconds{700};
     entry.life = target_life(1234567890123);
 
-    full.weight = 0.5;
     full.running = {{77, 2}, {78, 1}};
     zone_status status;
     status.zone = zone_id("b");
@@ -264,7 +263,7 @@
     status.sequence = 12;
     status.targets_at = revision(10);
     status.loads = full.loads;
-    status.roster = {{node_id("b1"), zone_id("b"), "10.0.0.3", "10.0.0.3:80", host_life(3), 0.25}};
+    status.roster = {{node_id("b1"), zone_id("b"), "10.0.0.3", "10.0.0.3:80", host_life(3)}};
     gossip const hello{node_id("a1"), "ip-a1", {full}, {status}, true};
 
     auto const heard = decode_host_message(encode_host_message(hello), "peer");
@@ -274,7 +273,6 @@
     EXPECT_TRUE(back.leaving && back.store_lost && std::get<gossip>(*heard).answer_wanted);
     EXPECT_EQ(back.targets_at, full.targets_at);
     EXPECT_EQ(back.loads.at(0).listed, 6);
-    EXPECT_EQ(back.weight, 0.5);
     ASSERT_EQ(back.running.size(), 2U);
     EXPECT_EQ(back.running.at(0).target, 77U);
     EXPECT_EQ(back.running.at(0).running, 2);
