Serve metrics of an entry host at an address of their own

Change: optional setting metrics_address; /metrics shows the histograms and gauges of what the host believes: versions, targets, evacuations, peers, open requests, log lines left out.

Test: host_case.shows_its_metrics.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -84,6 +84,10 @@
           loop, timers,
           {[this](call_id call, http_request const& request) { answer_lookup(call, request); },
            [](call_id) {}}),
+      metrics_(
+          loop, timers,
+          {[this](call_id call, http_request const& request) { answer_metrics(call, request); },
+           [](call_id) {}}),
       view_(self_report(settings_), random_seed()),
       transport_(loop, settings_.peer_port,
                  [this](std::string const& bytes) { on_message(bytes); }),
@@ -180,6 +184,9 @@
     if (started) {
         started = directory_.start(settings_.directory_address);
     }
+    if (started && !settings_.metrics_address.empty()) {
+        started = metrics_.start(settings_.metrics_address);
+    }
     if (started) {
         started = clients_.start(settings_.client_address);
     }
@@ -436,4 +443,40 @@
     directory_.respond(call, std::move(response));
 }
 
+/** @return histograms of requests and gauges of what this host believes, as Prometheus text. */
+std::string entry_host::metrics_text() const
+{
+    mono_time const now = read_clocks().mono;
+    known_versions const known = versions();
+    std::string out = carrier_.metrics().prometheus();
+    auto const gauge = [&out](std::string const& name, std::uint64_t value) {
+        out += "# TYPE cove_" + name + " gauge\ncove_" + name + " " + std::to_string(value) + "\n";
+    };
+    gauge("config_version", known.config.value);
+    gauge("targets_revision", known.targets.value);
+    gauge("evacuations_revision", known.evacuations.value);
+    gauge("targets", targets_.entries().size());
+    gauge("evacuated_zones", evacuated_.size());
+    gauge("open_requests", carrier_.open_requests());
+    gauge("client_connections", clients_.connections());
+    gauge("serving_hosts", view_.serving(now).size());
+    gauge("zones_heard", view_.zones(now).size());
+    gauge("follows_store", follows_ ? 1 : 0);
+    gauge("store_lost", state().store_lost ? 1 : 0);
+    gauge("log_lines_left_out", log_.left_out());
+    return out;
+}
+
+void entry_host::answer_metrics(call_id call, http_request const& request)
+{
+    if (text_of(request.target()) != "/metrics") {
+        metrics_.respond(call, http_response(http::status::not_found, http_version));
+        return;
+    }
+    http_response response(http::status::ok, http_version);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = metrics_text();
+    metrics_.respond(call, std::move(response));
+}
+
 } // namespace cove
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -84,6 +84,8 @@
 
     void answer_readiness(call_id call, http_request const& request);
     void answer_lookup(call_id call, http_request const& request);
+    void answer_metrics(call_id call, http_request const& request);
+    [[nodiscard]] std::string metrics_text() const;
 
     boost::asio::io_context& loop_;
     loop_timers& timers_;
@@ -95,6 +97,7 @@
     http_server clients_;
     http_server readiness_;
     http_server directory_;
+    http_server metrics_;
     host_view view_;
     loop_transport transport_;
     store_port store_;
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -32,6 +32,8 @@
         .ip_port("readiness_address", &s::readiness_address,
                  "where the platform asks for readiness")
         .ip_port("directory_address", &s::directory_address, "where clients look up entry hosts")
+        .ip_port("metrics_address", &s::metrics_address, "where metrics are read, at /metrics")
+        .optional()
         .text("ip", &s::ip, "own IP number")
         .whole("peer_port", &s::peer_port, 1, last_port,
                "port of the messages between entry hosts, the same on all")
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -19,6 +19,7 @@
     std::string client_address;
     std::string readiness_address;
     std::string directory_address;
+    std::string metrics_address; ///< empty: metrics are not served
     std::string ip;
     int peer_port = 0;
     std::vector<std::string> seeds; ///< IP:port; only the IP counts
--- a/src/log/log_limiter.cpp
+++ b/src/log/log_limiter.cpp
@@ -10,6 +10,7 @@
     }
     if (written_ >= lines_per_second) {
         ++left_out_;
+        ++left_out_in_all_;
         return;
     }
     ++written_;
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -19,6 +19,7 @@
                             {"client_address", loopback(free_port())},
                             {"readiness_address", loopback(free_port())},
                             {"directory_address", loopback(free_port())},
+                            {"metrics_address", loopback(free_port())},
                             {"ip", "127.0.0.1"},
                             {"peer_port", free_port()},
                             {"seeds", nlohmann::json::array()},
@@ -101,6 +102,7 @@
         client_address = settings->client_address;
         ready_address = settings->readiness_address;
         directory_address = settings->directory_address;
+        metrics_address = settings->metrics_address;
         host_wire wire;
         wire.names = {"Attempt", "Deadline", "Object", "Expected", "Signature", "Not-Run", "Load"};
         wire.ready_path = "/ready";
@@ -203,6 +205,7 @@
     std::string client_address;
     std::string ready_address;
     std::string directory_address;
+    std::string metrics_address;
     std::unique_ptr<entry_host> host;
 };
 
@@ -347,6 +350,25 @@
     EXPECT_EQ(status("/a/1"), 503U);
 }
 
+TEST_F(host_case, shows_its_metrics)
+{
+    scripted_server target(loop, [](std::string const&) {
+        return scripted_answer{served, after_bytes::keep};
+    });
+    configure(7, "/a/");
+    list({&target}, 9);
+    EXPECT_EQ(status("/a/1"), 200U);
+    auto const answer = ask(metrics_address, "/metrics");
+    EXPECT_EQ(answer.response.result_int(), 200U);
+    std::string const& text = answer.response.body();
+    for (char const* const line :
+         {"cove_config_version 7\n", "cove_targets_revision 9\n", "cove_targets 1\n",
+          "cove_log_lines_left_out 0\n", "outcome=\"served\""}) {
+        EXPECT_NE(text.find(line), std::string::npos) << line << text;
+    }
+    EXPECT_EQ(ask(metrics_address, "/other").response.result_int(), 404U);
+}
+
 TEST_F(host_case, answers_look_ups_with_itself)
 {
     configure(1, "/a/");
