--- a/src/directory/client_shares.cpp
+++ b/src/directory/client_shares.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Load of a zone relative to the mean of all that is still planned for: moving clients whole, so
-/// that their objects stay warm in one zone, gained more than even loads did.
-constexpr double highest_load = 1.2;
+/// Load of a zone relative to the mean of all that is still planned for; some room lets clients
+/// move whole, so that their objects stay warm in one zone.
+constexpr double highest_load = 1.05;
 constexpr double least_load = 0.3; ///< of the slots; differences below it mean nothing
 constexpr double load_weight = 0;  ///< how strongly uneven loads move clients
 constexpr double negligible = 1e-6;
