--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr unsigned http_version = 11;
 constexpr milliseconds answer_lifetime{2000}; ///< clients of a stopped host move on that soon
 constexpr std::size_t most_addresses = 64;    ///< that a look-up answer may hold
 /// Hosts of one start register within that time; then the list shows who follows the store.
@@ -54,11 +53,6 @@
             {settings.repeat_ratio, settings.repeat_window, settings.repeat_slack}};
 }
 
-std::string text_of(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 milliseconds part_of(milliseconds whole, double share)
 {
     return milliseconds(static_cast<std::int64_t>(share * static_cast<double>(whole.count())));
--- a/src/host/request_carrier.cpp
+++ b/src/host/request_carrier.cpp
@@ -12,18 +12,12 @@
 
 namespace {
 
-constexpr unsigned http_version = 11;
 constexpr milliseconds tick_interval{20};   ///< queues and time-outs are that exact
 constexpr milliseconds no_config_wait{500}; ///< a new host has its configuration that soon
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_client_error = 400;
 
-std::string text_of(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::string as_seconds(milliseconds time)
 {
     constexpr double ms_per_second = 1000;
--- a/src/host/target_pool.cpp
+++ b/src/host/target_pool.cpp
@@ -1,7 +1,5 @@
 #include "host/target_pool.h"
 
-#include "core/address.h"
-
 #include <algorithm>
 
 namespace cove {
@@ -50,11 +48,7 @@
         }
         last->close();
     }
-    auto const where = parse_address(address);
-    boost::system::error_code error;
-    auto const ip = boost::asio::ip::make_address(where ? where->ip : "", error);
-    http_endpoint const endpoint(ip, static_cast<std::uint16_t>(where ? where->port : 0));
-    return std::make_shared<exchange_connection>(loop_, endpoint, exchange_limits{});
+    return std::make_shared<exchange_connection>(loop_, endpoint_of(address), exchange_limits{});
 }
 
 void target_pool::release(target_id const& target, connection what)
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,5 +1,7 @@
 #include "http/exchange.h"
 
+#include "core/address.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -18,6 +20,14 @@
 
 } // namespace
 
+http_endpoint endpoint_of(std::string const& address)
+{
+    auto const where = parse_address(address);
+    boost::system::error_code error;
+    auto const ip = boost::asio::ip::make_address(where ? where->ip : "", error);
+    return {ip, static_cast<std::uint16_t>(where ? where->port : 0)};
+}
+
 exchange_connection::exchange_connection(boost::asio::io_context& loop, http_endpoint peer,
                                          exchange_limits limits)
     : socket_(loop), peer_(std::move(peer)), limits_(limits)
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -38,6 +38,12 @@
     milliseconds unacknowledged{1500}; ///< TCP_USER_TIMEOUT: bytes that the peer leaves so long
 };
 
+/**
+ * @param address IP:port.
+ * @return where it points; for a malformed address an endpoint that refuses every connection.
+ */
+http_endpoint endpoint_of(std::string const& address);
+
 /**
  * A connection to one address. It connects with its first request. The owner closes it to end a
  * request early; the handler is not called then.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -18,7 +18,6 @@
 constexpr milliseconds linger_time{1000};  ///< for the client to read an answer before the close
 constexpr std::size_t linger_chunk = 4096; ///< bytes thrown away at a time
 constexpr milliseconds no_limit = milliseconds::max();
-constexpr unsigned http_version = 11; ///< HTTP/1.1, as Beast writes it
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expects_continue(http_request const& request)
