--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -58,7 +58,6 @@
     void reload();
     void leave();
     void finish_leaving();
-    void exit_when_idle(mono_time latest);
 
     void on_config(config_document document);
     void on_message(std::string const& bytes);
@@ -111,7 +110,6 @@
     std::optional<config_document> config_;
     bool targets_known_ = false;
     share_mover shares_;
-    std::map<zone_id, zone_shares> steered_;
     mono_time started_;
     lag_watch lag_;
     bool follows_ = false; ///< this host is one of those that watch the store
