Send nothing to cold targets until the zone's hosts are known

A region was lost and came back at 31.5 s; the hosts of a zone started together, knew no neighbours and each took the whole cold rate.

Change: for three seconds after a start hosts that were listed but not heard count as neighbours, and until the list has come cold targets get nothing.

Test: targets.that_are_cold_get_nothing_from_a_host_that_does_not_know_its_neighbours (needs the new field, so it did not compile before).

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -137,6 +137,7 @@
         tell_zone(snapshot{{}, {}, evacuation_snapshot{evacuated_, evacuations_at_}});
     };
     out.hosts_listed = [this](std::vector<host_record> const& hosts) {
+        hosts_listed_ = true;
         for (host_record const& host : hosts) {
             view_.add_contact(host.name, host.zone, host.ip);
         }
@@ -196,6 +197,7 @@
     target_follower_.start(at_once);
     evacuation_follower_.start(at_once);
     register_self(0);
+    report_peers(read_clocks().mono);
     timers_.every(host_view::tick_interval, [this] { tick(); });
     timers_.every(steer_interval, [this] { steer(read_clocks().mono); });
     return {};
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -114,6 +114,7 @@
     lag_watch lag_;
     bool follows_ = false; ///< this host is one of those that watch the store
     bool leaving_ = false;
+    bool hosts_listed_ = false; ///< the store has named the other hosts
 };
 
 } // namespace cove
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr milliseconds behind_patience{600}; ///< own watches mostly bring it within that time
+/// After a common start the hosts of a zone have heard each other by then; before, each would
+/// take a cold target's whole rate (25 requests in a second after a region was lost).
+constexpr milliseconds meeting_time{3000};
 /// What a zone missed, its followers ask other zones for; the others wait for them.
 constexpr milliseconds outside_patience{2000};
 
@@ -42,6 +45,11 @@
             peers.hosts_in_zone.push_back(host.name);
         }
     }
+    if (now < started_ + meeting_time) {
+        peers.neighbours_known = hosts_listed_;
+        auto const unheard = view_.unheard_neighbours();
+        peers.hosts_in_zone.insert(peers.hosts_in_zone.end(), unheard.begin(), unheard.end());
+    }
     for (host_report const& host : view_.zone_hosts(now)) {
         if (host.name != node_id(settings_.name)) {
             for (target_use const& use : host.running) {
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -397,6 +397,17 @@
     return before < most || before_with_store < most;
 }
 
+std::vector<node_id> host_view::unheard_neighbours() const
+{
+    std::vector<node_id> out;
+    for (auto const& [name, host] : hosts_) {
+        if (!host.reported) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
 std::vector<std::string> host_view::zone_ips(mono_time now) const
 {
     std::vector<std::string> out;
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -82,6 +82,9 @@
     /** @return live hosts of this zone, this one first. */
     [[nodiscard]] std::vector<host_report> zone_hosts(mono_time now) const;
 
+    /** @return hosts of this zone that the store or a peer named and that were never heard. */
+    [[nodiscard]] std::vector<node_id> unheard_neighbours() const;
+
     /** @return the status of each zone that was heard of lately, this one included; no rosters. */
     [[nodiscard]] std::vector<zone_status> zones(mono_time now) const;
 
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -203,6 +203,7 @@
 void traffic::on(peers_reported const& event)
 {
     hosts_in_zone_ = event.hosts_in_zone;
+    neighbours_known_ = event.neighbours_known;
     hosts_in_total_ = std::max(1, event.hosts_in_total);
     rooms_.clear();
     for (remote_room const& room : event.rooms) {
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -152,6 +152,7 @@
     repeat_budget budget_;
     come_back_times come_back_;
     std::vector<node_id> hosts_in_zone_; ///< this host included; empty until peers were heard
+    bool neighbours_known_ = true;
     int hosts_in_total_ = 1;
 };
 
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -76,6 +76,7 @@
 struct peers_reported {
     std::vector<node_id> hosts_in_zone; ///< live ones that take requests, this host included
     int hosts_in_total = 1;             ///< live ones, this host included
+    bool neighbours_known = true;       ///< false: other hosts of the zone may start just now too
     std::vector<remote_room> rooms;
     std::map<std::uint32_t, int> running; ///< requests of the zone's other hosts by target hash
 };
--- a/src/traffic/traffic_placing.cpp
+++ b/src/traffic/traffic_placing.cpp
@@ -58,6 +58,9 @@
  */
 double traffic::cold_share(target_state const& target) const
 {
+    if (!neighbours_known_) {
+        return 0;
+    }
     auto const terms = terms_.find(target.entry().service);
     double const rate = terms == terms_.end() ? 1 : std::max(1.0, terms->second.cold_rate);
     auto const hosts = static_cast<double>(std::max<std::size_t>(1, hosts_in_zone_.size()));
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -138,6 +138,23 @@
     EXPECT_LE(sent, bound);
 }
 
+TEST(targets, that_are_cold_get_nothing_from_a_host_that_does_not_know_its_neighbours)
+{
+    traffic_bench bench;
+    bench.list(1, 50);
+    bench.entries[0].cold_left = milliseconds{5000};
+    bench.entries[0].life = target_life(2);
+    bench.feed(targets_listed{bench.entries});
+    peers_reported alone;
+    alone.neighbours_known = false;
+    bench.feed(alone);
+    bench.arrive();
+    EXPECT_FALSE(bench.one<send_attempt>());
+    bench.report_hosts(1, 1);
+    bench.arrive();
+    EXPECT_TRUE(bench.one<send_attempt>());
+}
+
 TEST(targets, that_neighbours_have_filled_get_nothing_more)
 {
     traffic_bench bench;
