Keep one copy of versions, loads, lists and retries in the entry host

Cause: reading the whole change again. Dead: a load weight of zero in the shares, loop_transport::keep_only. Done twice: queues pumped on each peer report though every tick does it, a target's warmth in the cost, a whole report for one gauge. A failed list of hosts was not logged.

Comments in plainer words. Tests keep their assertions; two field names, one test name and one type changed.

--- a/src/directory/client_shares.cpp
+++ b/src/directory/client_shares.cpp
@@ -10,8 +10,6 @@
 /// Load of a zone relative to the mean of all that is still planned for; some room lets clients
 /// move whole, so that their objects stay warm in one zone.
 constexpr double highest_load = 1.05;
-constexpr double least_load = 0.3; ///< of the slots; differences below it mean nothing
-constexpr double load_weight = 0;  ///< how strongly uneven loads move clients
 constexpr double negligible = 1e-6;
 
 /** Cached answers move late and together, so only part of the cap is planned for. */
@@ -20,16 +18,15 @@
 constexpr seconds longest_step{2}; ///< time that counts between two moves
 
 /**
- * @return the part of all traffic that each zone should carry: its part of the slots, less where
- * more of them are in use than elsewhere. Of several services the scarcest counts.
+ * @return the part of all traffic that each zone should carry: its part of the slots. Of several
+ * services the scarcest counts.
  */
 std::map<zone_id, double> fair_parts(std::vector<steered_zone> const& zones)
 {
-    std::map<service_id, zone_capacity> totals;
+    std::map<service_id, double> totals;
     for (steered_zone const& zone : zones) {
-        for (auto const& [service, capacity] : zone.services) {
-            totals[service].slots += zone.usable ? capacity.slots : 0;
-            totals[service].busy += zone.usable ? capacity.busy : 0;
+        for (auto const& [service, slots] : zone.slots) {
+            totals[service] += zone.usable ? slots : 0;
         }
     }
     std::map<zone_id, double> out;
@@ -37,17 +34,10 @@
     for (steered_zone const& zone : zones) {
         double part = zone.usable ? 1 : 0;
         for (auto const& [service, total] : totals) {
-            auto const own = zone.services.find(service);
-            if (total.slots <= 0) {
-                continue;
+            auto const own = zone.slots.find(service);
+            if (total > 0) {
+                part = std::min(part, own == zone.slots.end() ? 0 : own->second / total);
             }
-            zone_capacity const capacity =
-                own == zone.services.end() ? zone_capacity{} : own->second;
-            double const mean = std::max(least_load, total.busy / total.slots);
-            double const load =
-                capacity.slots > 0 ? std::max(least_load, capacity.busy / capacity.slots) : mean;
-            part =
-                std::min(part, capacity.slots / total.slots * std::pow(mean / load, load_weight));
         }
         out[zone.zone] = part;
         sum += part;
@@ -146,7 +136,7 @@
 std::map<zone_id, zone_shares> wanted_shares(std::vector<steered_zone> const& zones)
 {
     bool const none = std::none_of(zones.begin(), zones.end(), [](auto const& zone) {
-        return zone.usable && !zone.services.empty();
+        return zone.usable && !zone.slots.empty();
     });
     return none ? std::map<zone_id, zone_shares>{} : share_planner(zones).plan();
 }
--- a/src/directory/client_shares.h
+++ b/src/directory/client_shares.h
@@ -13,18 +13,12 @@
 /** Shares of zones, summing to 1. */
 using zone_shares = std::map<zone_id, double>;
 
-/** What a zone has for a service. */
-struct zone_capacity {
-    double slots = 0; ///< of all targets but those that leave
-    double busy = 0;  ///< slots in use, requests that wait included
-};
-
 /** One availability zone as steering sees it. */
 struct steered_zone {
     zone_id zone;
     region_id region;
-    bool usable = false; ///< it has entry hosts that take requests
-    std::map<service_id, zone_capacity> services;
+    bool usable = false;                ///< it has entry hosts that take requests
+    std::map<service_id, double> slots; ///< of all targets but those that leave
 };
 
 /**
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -14,7 +14,8 @@
 } // namespace
 
 follower::follower(loop_timers& timers, follow_calls calls, std::uint64_t seed)
-    : timers_(timers), calls_(std::move(calls)), random_(seed)
+    : timers_(timers), calls_(std::move(calls)),
+      waits_after_failure_(first_wait, longest_wait, seed)
 {
 }
 
@@ -73,7 +74,7 @@
 {
     switch (answer.end) {
     case follow_end::done:
-        failures_ = 0;
+        waits_after_failure_.succeeded();
         set_reachable(true, "");
         at_ = std::max(at_, answer.at);
         listed_ = true;
@@ -87,10 +88,7 @@
         break;
     case follow_end::failed:
         set_reachable(false, answer.detail);
-        ++failures_;
-        auto const wait = std::min(longest_wait, first_wait * failures_);
-        auto const half = static_cast<std::uint64_t>(wait.count() / 2);
-        ask_after(wait / 2 + milliseconds(random_below(random_, half + 1)));
+        ask_after(waits_after_failure_.failed());
         break;
     }
 }
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -1,7 +1,7 @@
 #pragma once
 /** @file Keeps a copy of a kind of objects of the platform's store up to date. */
 
-#include "core/random.h"
+#include "core/backoff.h"
 #include "core/time_type.h"
 #include "http/loop_timers.h"
 #include "traffic/target_type.h"
@@ -64,14 +64,13 @@
 
     loop_timers& timers_;
     follow_calls calls_;
-    random_engine random_;
+    backoff waits_after_failure_;
     revision at_;
     bool active_ = false;
     bool listed_ = false;
     bool waits_ = false; ///< the first list waits until this is active
     bool up_ = true;
     bool asking_ = false;
-    int failures_ = 0;
     loop_timers::subscription next_ = 0;
 };
 
--- a/src/follow/lag_watch.h
+++ b/src/follow/lag_watch.h
@@ -1,28 +1,13 @@
 #pragma once
 /** @file Notices that this host's copies stay behind those of its peers. */
 
-#include "core/ids_type.h"
 #include "core/time_type.h"
-#include "traffic/target_type.h"
+#include "follow/known_versions_type.h"
 
 #include <optional>
 
 namespace cove {
 
-/** Up to where a host knows what the platform's store holds. */
-struct known_versions {
-    generation config;
-    revision targets;
-    revision evacuations;
-
-    /** @return whether nothing in @p other is newer. */
-    [[nodiscard]] bool covers(known_versions const& other) const
-    {
-        return config >= other.config && targets >= other.targets &&
-               evacuations >= other.evacuations;
-    }
-};
-
 /**
  * Answers the load of a large fleet, whose list of targets changes all the time: some peer is then
  * always ahead, but only a host that misses the same change for a while has to ask for all.
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -106,35 +106,24 @@
             tell_zone(snapshot{config_->text, {}, {}});
         }
     };
-    out.targets_listed = [this](std::vector<target_entry> const& entries, revision at) {
-        targets_known_ = true;
-        on_targets(targets_.replace(entries, at, read_clocks().mono));
-    };
+    out.targets_listed = [this](target_snapshot const& list) { take(list); };
     out.targets_changed = [this](target_changes const& changes) {
         if (take(changes)) {
             tell_zone(changes);
         }
     };
-    out.evacuations_listed = [this](std::set<zone_id> const& zones, revision at) {
-        if (at >= evacuations_at_) {
-            evacuated_ = zones;
-            evacuations_at_ = at;
-            on_evacuations();
-        }
-    };
+    out.evacuations_listed = [this](evacuation_snapshot const& list) { take(list); };
     out.evacuations_changed = [this](std::vector<std::pair<zone_id, bool>> const& changes,
                                      revision at) {
         if (at <= evacuations_at_) {
             return;
         }
+        evacuation_snapshot next{evacuated_, at};
         for (auto const& [zone, begun] : changes) {
-            begun ? (void)evacuated_.insert(zone) : (void)evacuated_.erase(zone);
-        }
-        evacuations_at_ = at;
-        if (!changes.empty()) {
-            on_evacuations();
+            begun ? (void)next.zones.insert(zone) : (void)next.zones.erase(zone);
         }
-        tell_zone(snapshot{{}, {}, evacuation_snapshot{evacuated_, evacuations_at_}});
+        take(next);
+        tell_zone(snapshot{{}, {}, next});
     };
     out.hosts_listed = [this](std::vector<host_record> const& hosts) {
         hosts_listed_ = true;
@@ -223,10 +212,8 @@
             timers_.once(started_ + list_wait, [this] { list_hosts(0); });
             return;
         }
-        log_.event("register_failed", {{"failures", std::to_string(failures + 1)}},
-                   read_clocks().mono);
-        timers_.once(read_clocks().mono + register_wait * (failures + 1),
-                     [this, failures] { register_self(failures + 1); });
+        try_again("register_failed", failures + 1,
+                  [this, failures] { register_self(failures + 1); });
     });
 }
 
@@ -234,12 +221,20 @@
 {
     store_.list_hosts([this, failures](bool done) {
         if (!done) {
-            timers_.once(read_clocks().mono + register_wait * (failures + 1),
-                         [this, failures] { list_hosts(failures + 1); });
+            try_again("list_hosts_failed", failures + 1,
+                      [this, failures] { list_hosts(failures + 1); });
         }
     });
 }
 
+/** Logs a failed call to the store and makes it again, later with each failure. */
+void entry_host::try_again(std::string const& failed, int failures, std::function<void()> call)
+{
+    mono_time const now = read_clocks().mono;
+    log_.event(failed, {{"failures", std::to_string(failures)}}, now);
+    timers_.once(now + register_wait * failures, std::move(call));
+}
+
 void entry_host::watch_signals()
 {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
@@ -331,11 +326,6 @@
     }
 }
 
-void entry_host::on_evacuations()
-{
-    carrier_.set_evacuations(evacuated_);
-}
-
 bool entry_host::ready() const
 {
     return config_ && targets_known_;
@@ -346,20 +336,20 @@
     return {config_ ? config_->config.version : generation{}, targets_.at(), evacuations_at_};
 }
 
+bool entry_host::store_lost() const
+{
+    return !config_follower_.reachable() || !target_follower_.reachable() ||
+           !evacuation_follower_.reachable();
+}
+
 own_state entry_host::state() const
 {
     own_state own;
     own.leaving = leaving_;
     own.ready = ready();
-    known_versions const known = versions();
-    own.config_version = known.config;
-    own.targets_at = known.targets;
-    own.evacuations_at = known.evacuations;
-    own.store_lost = !config_follower_.reachable() || !target_follower_.reachable() ||
-                     !evacuation_follower_.reachable();
-    for (service_load const& load : carrier_.loads()) {
-        own.loads.push_back({load.service, load.slots, load.listed, load.busy, load.waiting});
-    }
+    own.versions = versions();
+    own.store_lost = store_lost();
+    own.loads = carrier_.loads();
     for (auto const& [target, running] : carrier_.running()) {
         own.running.push_back({target, running});
     }
@@ -384,7 +374,7 @@
             continue;
         }
         for (service_load_report const& load : status.loads) {
-            zone->second.services[load.service] = {load.listed, load.busy + load.waiting};
+            zone->second.slots[load.service] = load.listed;
         }
     }
     std::vector<steered_zone> list;
@@ -458,7 +448,7 @@
     gauge("serving_hosts", view_.serving(now).size());
     gauge("zones_heard", view_.zones(now).size());
     gauge("follows_store", follows_ ? 1 : 0);
-    gauge("store_lost", state().store_lost ? 1 : 0);
+    gauge("store_lost", store_lost() ? 1 : 0);
     gauge("log_lines_left_out", log_.left_out());
     return out;
 }
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -54,6 +54,7 @@
     void choose_followers(mono_time now);
     void register_self(int failures);
     void list_hosts(int failures);
+    void try_again(std::string const& failed, int failures, std::function<void()> call);
     void watch_signals();
     void reload();
     void leave();
@@ -66,9 +67,10 @@
     void on(snapshot const& message);
     void on(target_changes const& message);
     bool take(target_changes const& message);
+    void take(target_snapshot const& list);
+    void take(evacuation_snapshot const& list);
     void tell_zone(host_message const& message);
     void on_targets(bool changed);
-    void on_evacuations();
 
     void tick();
     void send(host_effects const& effects);
@@ -76,6 +78,7 @@
     void report_peers(mono_time now);
     void steer(mono_time now);
     [[nodiscard]] own_state state() const;
+    [[nodiscard]] bool store_lost() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] known_versions versions() const;
     [[nodiscard]] std::vector<remote_room> rooms(std::vector<roster_host> const& hosts,
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -93,9 +93,8 @@
     std::string source_ip;
     bool outside = false;
     auto const consider = [&](auto const& source, bool other_zone) {
-        known_versions const its{source.config_version, source.targets_at, source.evacuations_at};
-        if (!best.covers(its)) {
-            best = its;
+        if (!best.covers(source.versions)) {
+            best = source.versions;
             source_ip = source.ip;
             outside = other_zone;
         }
@@ -162,15 +161,29 @@
                        read_clocks().mono);
         }
     }
-    if (message.targets && message.targets->at > targets_.at()) {
-        targets_known_ = true;
-        on_targets(
-            targets_.replace(message.targets->entries, message.targets->at, read_clocks().mono));
+    if (message.targets) {
+        take(*message.targets);
     }
-    if (message.evacuations && message.evacuations->at > evacuations_at_) {
-        evacuated_ = message.evacuations->zones;
-        evacuations_at_ = message.evacuations->at;
-        on_evacuations();
+    if (message.evacuations) {
+        take(*message.evacuations);
+    }
+}
+
+void entry_host::take(target_snapshot const& list)
+{
+    targets_known_ = true;
+    on_targets(targets_.replace(list.entries, list.at, read_clocks().mono));
+}
+
+void entry_host::take(evacuation_snapshot const& list)
+{
+    if (list.at < evacuations_at_) {
+        return;
+    }
+    evacuations_at_ = list.at;
+    if (list.zones != evacuated_) {
+        evacuated_ = list.zones;
+        carrier_.set_evacuations(evacuated_);
     }
 }
 
--- a/src/host/request_carrier.cpp
+++ b/src/host/request_carrier.cpp
@@ -321,7 +321,7 @@
     feed(peers);
 }
 
-std::vector<service_load> request_carrier::loads() const
+std::vector<service_load_report> request_carrier::loads() const
 {
     return traffic_.loads(read_clocks().mono);
 }
--- a/src/host/request_carrier.h
+++ b/src/host/request_carrier.h
@@ -46,7 +46,7 @@
     void set_evacuations(std::set<zone_id> const& zones);
     void set_peers(peers_reported const& peers);
 
-    [[nodiscard]] std::vector<service_load> loads() const;
+    [[nodiscard]] std::vector<service_load_report> loads() const;
     [[nodiscard]] std::map<std::uint32_t, int> running() const;
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] route_table const* routes() const { return routes_.get(); }
--- a/src/host/store_port.h
+++ b/src/host/store_port.h
@@ -33,9 +33,9 @@
 /** Receives what the store's calls bring. */
 struct store_hooks {
     std::function<void(config_document)> config;
-    std::function<void(std::vector<target_entry>, revision)> targets_listed;
+    std::function<void(target_snapshot)> targets_listed;
     std::function<void(target_changes)> targets_changed;
-    std::function<void(std::set<zone_id>, revision)> evacuations_listed;
+    std::function<void(evacuation_snapshot)> evacuations_listed;
     std::function<void(std::vector<std::pair<zone_id, bool>>, revision)>
         evacuations_changed; ///< true: begun; false: taken back
     std::function<void(std::vector<host_record>)> hosts_listed;
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -81,9 +81,7 @@
     ++self_.sequence;
     self_.leaving = own.leaving;
     self_.ready = own.ready;
-    self_.config_version = own.config_version;
-    self_.targets_at = own.targets_at;
-    self_.evacuations_at = own.evacuations_at;
+    self_.versions = own.versions;
     self_.loads = own.loads;
     self_.store_lost = own.store_lost;
     self_.running = own.running;
@@ -133,9 +131,7 @@
     out.ip = self_.ip;
     node_id reporter; // the first host that serves speaks for the zone's targets
     for (host_report const& host : zone_hosts(now)) {
-        out.config_version = std::max(out.config_version, host.config_version);
-        out.targets_at = std::max(out.targets_at, host.targets_at);
-        out.evacuations_at = std::max(out.evacuations_at, host.evacuations_at);
+        out.versions.raise_to(host.versions);
         bool const serves = host.ready && !host.leaving;
         if (serves && (reporter.value.empty() || host.name < reporter)) {
             reporter = host.name;
@@ -161,18 +157,17 @@
 
 void host_view::tell_zone(host_effects& out, mono_time now)
 {
-    gossip own{self_.name, self_.ip, {self_}, {}, false};
-    gossip with_news = own;
+    gossip message{self_.name, self_.ip, {self_}, {}, false};
     for (auto const& [zone, status] : to_pass_on_) {
-        with_news.zones.push_back(status);
+        message.zones.push_back(status);
     }
     std::uint64_t turn = ticks_;
     for (auto const& [name, host] : hosts_) {
         if (!is_alive(host, now)) {
             continue;
         }
-        if (turn++ % turns() == 0 || !with_news.zones.empty()) {
-            out.push_back({host.report.ip, with_news});
+        if (turn++ % turns() == 0 || !message.zones.empty()) {
+            out.push_back({host.report.ip, message});
         }
     }
     to_pass_on_.clear();
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -41,9 +41,7 @@
 struct own_state {
     bool leaving = false;
     bool ready = false;
-    generation config_version;
-    revision targets_at;
-    revision evacuations_at;
+    known_versions versions;
     std::vector<service_load_report> loads;
     bool store_lost = false;
     std::vector<target_use> running;
--- a/src/peer/loop_transport.cpp
+++ b/src/peer/loop_transport.cpp
@@ -86,9 +86,4 @@
     peer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
 }
 
-void loop_transport::keep_only(std::set<std::string> const& ips)
-{
-    std::erase_if(peers_, [&ips](auto const& item) { return !ips.contains(item.first); });
-}
-
 } // namespace cove
--- a/src/peer/loop_transport.h
+++ b/src/peer/loop_transport.h
@@ -34,9 +34,6 @@
     /** Sends @p bytes to the host at @p ip. */
     void send(std::string const& ip, std::string const& bytes);
 
-    /** Ends the connections to hosts that are not in @p ips. */
-    void keep_only(std::set<std::string> const& ips);
-
 private:
     void wait();
     void receive_all();
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -8,6 +8,21 @@
 
 namespace {
 
+template <class Message>
+void write_versions(Message& out, known_versions const& versions)
+{
+    out.set_config_version(versions.config.value);
+    out.set_targets_revision(versions.targets.value);
+    out.set_evacuations_revision(versions.evacuations.value);
+}
+
+template <class Message>
+known_versions read_versions(Message const& in)
+{
+    return {generation(in.config_version()), revision(in.targets_revision()),
+            revision(in.evacuations_revision())};
+}
+
 template <class Message>
 void write_loads(Message& out, std::vector<service_load_report> const& loads)
 {
@@ -42,9 +57,7 @@
     out.set_sequence(report.sequence);
     out.set_leaving(report.leaving);
     out.set_ready(report.ready);
-    out.set_config_version(report.config_version.value);
-    out.set_targets_revision(report.targets_at.value);
-    out.set_evacuations_revision(report.evacuations_at.value);
+    write_versions(out, report.versions);
     out.set_store_lost(report.store_lost);
     write_loads(out, report.loads);
     for (target_use const& use : report.running) {
@@ -64,9 +77,7 @@
     report.sequence = in.sequence();
     report.leaving = in.leaving();
     report.ready = in.ready();
-    report.config_version = generation(in.config_version());
-    report.targets_at = revision(in.targets_revision());
-    report.evacuations_at = revision(in.evacuations_revision());
+    report.versions = read_versions(in);
     report.store_lost = in.store_lost();
     report.loads = read_loads(in);
     for (int i = 0; i < std::min(in.busy_targets_size(), in.running_size()); ++i) {
@@ -82,9 +93,7 @@
     out.set_life(zone.life.value);
     out.set_sequence(zone.sequence);
     out.set_ip(zone.ip);
-    out.set_config_version(zone.config_version.value);
-    out.set_targets_revision(zone.targets_at.value);
-    out.set_evacuations_revision(zone.evacuations_at.value);
+    write_versions(out, zone.versions);
     write_loads(out, zone.loads);
     out.set_has_roster(zone.roster.has_value());
     if (!zone.roster) {
@@ -107,9 +116,7 @@
     zone.life = host_life(in.life());
     zone.sequence = in.sequence();
     zone.ip = in.ip();
-    zone.config_version = generation(in.config_version());
-    zone.targets_at = revision(in.targets_revision());
-    zone.evacuations_at = revision(in.evacuations_revision());
+    zone.versions = read_versions(in);
     zone.loads = read_loads(in);
     if (in.has_roster()) {
         std::vector<roster_host> roster;
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -3,7 +3,7 @@
 
 #include "core/error.h"
 #include "core/ids_type.h"
-#include "traffic/target_type.h"
+#include "follow/known_versions_type.h"
 
 #include <optional>
 #include <set>
@@ -15,15 +15,6 @@
 
 using host_life = strong_number<struct host_life_tag>; ///< one start of an entry host
 
-/** What the targets of a zone carry of one service, as one host of the zone sees it. */
-struct service_load_report {
-    service_id service;
-    double slots = 0;  ///< of targets that take work now
-    double listed = 0; ///< slots of all targets but those that leave
-    double busy = 0;
-    int waiting = 0;
-};
-
 /** Requests that a host has at one target. */
 struct target_use {
     std::uint32_t target = 0; ///< short hash of its id
@@ -40,9 +31,7 @@
     std::uint64_t sequence = 0; ///< grows with each report of a life
     bool leaving = false;
     bool ready = false; ///< has a configuration in force
-    generation config_version;
-    revision targets_at;
-    revision evacuations_at;
+    known_versions versions;
     std::vector<service_load_report> loads;
     bool store_lost = false; ///< its calls to the platform's store fail
     std::vector<target_use> running;
@@ -58,21 +47,19 @@
     bool operator==(roster_host const&) const = default;
 };
 
-/** What a zone says of itself to other zones, by the mouth of one of its hosts. */
+/** Status of a zone as one of its hosts tells it to other zones. */
 struct zone_status {
     zone_id zone;
     node_id speaker;
     host_life life; ///< of the speaker
     std::uint64_t sequence = 0;
     std::string ip; ///< of the speaker
-    generation config_version;
-    revision targets_at;
-    revision evacuations_at;
+    known_versions versions;
     std::vector<service_load_report> loads;
-    std::optional<std::vector<roster_host>> roster; ///< nothing: as before
+    std::optional<std::vector<roster_host>> roster; ///< nothing: unchanged
 };
 
-/** Reports of hosts of the sender's zone, summaries of zones. */
+/** Reports of hosts of the sender's zone and statuses of zones. */
 struct gossip {
     node_id sender;
     std::string sender_ip;
--- a/src/soak/fake_platform.cpp
+++ b/src/soak/fake_platform.cpp
@@ -90,10 +90,10 @@
     }
     ++generation_.value;
     written_.emplace(generation_, std::make_shared<deployment const>(std::move(change)));
-    std::size_t const reached = random_.below(nodes_.hosts().size()); // hears of it for sure
+    std::size_t const reached = random_.below(nodes_.hosts().size()); // always receives the change
     for (std::size_t host = 0; host < nodes_.hosts().size(); ++host) {
         if (host != reached && !random_.one_in(3)) {
-            continue; // its watch brings nothing: it has to hear from its peers
+            continue; // has to receive the change from its peers
         }
         send_config(host, random_.between(shortest_lag, longest_lag_));
         if (random_.one_in(4)) { // a stale read arrives after the change
--- a/src/store/object_follower.cpp
+++ b/src/store/object_follower.cpp
@@ -1,6 +1,6 @@
 #include "store/object_follower.h"
 
-#include "store/backoff.h"
+#include "core/backoff.h"
 
 namespace cove {
 
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -76,12 +76,14 @@
         option.candidate = &candidate;
         option.rank = keyed ? ranks[i] : 0;
         option.object_age = keyed ? candidate.target->object_age(query.object) : std::nullopt;
-        option.service_ms =
-            times.expected(warm_share(query, option)) * candidate.slowness + candidate.extra_ms;
+        double const warm = warm_share(query, option);
+        option.service_ms = times.expected(warm) * candidate.slowness + candidate.extra_ms;
         double const ahead = candidate.load + candidate.queued - candidate.slots + 1;
         option.wait_ms =
             std::max(0.0, ahead) / candidate.slots * query.service_mean_ms * candidate.slowness;
-        double const share = keyed && option.rank == 0 ? 1 : warm_share(query, option);
+        // Judged by learned hits, the first target loses its lead under overload and objects
+        // spread.
+        double const share = keyed && option.rank == 0 ? 1 : warm;
         double const evicted_ms =
             (1 - share) * std::max(0.0, times.expected(0) - times.expected(1));
         double const kept_ms =
--- a/src/traffic/target_type.h
+++ b/src/traffic/target_type.h
@@ -28,7 +28,16 @@
     bool operator==(target_entry const&) const = default;
 };
 
-/** A target's own word on its load. */
+/** What the targets of a zone carry of one service, as one host of the zone sees it. */
+struct service_load_report {
+    service_id service;
+    double slots = 0;  ///< of targets that take work now
+    double listed = 0; ///< slots of all targets but those that leave
+    double busy = 0;   ///< requests that they run
+    int waiting = 0;   ///< requests that wait in this host
+};
+
+/** The load that a target reports with an answer. */
 struct target_load {
     int running = 0;
     int waiting = 0;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -213,9 +213,6 @@
         auto const found = event.running.find(target.short_hash());
         target.peers_running(found == event.running.end() ? 0 : found->second, now_);
     }
-    for (auto const& [service, queue] : std::map(queues_)) {
-        pump(service);
-    }
 }
 
 void traffic::on(time_passed const& /*event*/)
@@ -328,11 +325,11 @@
     return rank(a) < rank(b);
 }
 
-std::vector<service_load> traffic::loads(mono_time now) const
+std::vector<service_load_report> traffic::loads(mono_time now) const
 {
-    std::vector<service_load> out;
+    std::vector<service_load_report> out;
     for (auto const& [service, targets] : by_service_) {
-        service_load load;
+        service_load_report load;
         load.service = service;
         for (target_state const* const target : targets.own) {
             bool const leaves = target->entry().phase == target_phase::leaving;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -65,15 +65,6 @@
     double load_price = 0;
 };
 
-/** What the targets of this host's zone carry of one service. */
-struct service_load {
-    service_id service;
-    double slots = 0;  ///< of targets that take work now
-    double listed = 0; ///< slots of all targets but those that leave
-    double busy = 0;   ///< requests that they run
-    int waiting = 0;   ///< requests that wait in this host
-};
-
 /**
  * Decides for each request: which target, when, how often, and when to give up. It holds no clock,
  * socket or random device: events carry the time, effects are data.
@@ -89,7 +80,7 @@
     [[nodiscard]] bool waits() const { return !requests_.empty(); }
 
     /** @return the load of the targets of this zone. */
-    [[nodiscard]] std::vector<service_load> loads(mono_time now) const;
+    [[nodiscard]] std::vector<service_load_report> loads(mono_time now) const;
 
     /** @return this host's requests at each target that has any, by short hash. */
     [[nodiscard]] std::map<std::uint32_t, int> running(mono_time now) const;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -17,7 +17,7 @@
     out.zone = zone_id(std::move(name));
     out.region = region_id(std::move(region));
     out.usable = usable;
-    out.services[service_id("desk")] = {slots, 0};
+    out.slots[service_id("desk")] = slots;
     return out;
 }
 
@@ -78,7 +78,7 @@
         }
     }
     for (steered_zone const& each : zones) {
-        double const part = each.services.at(service_id("desk")).slots / total;
+        double const part = each.slots.at(service_id("desk")) / total;
         RC_ASSERT(carried[each.zone] <= planned_load * part + 1e-6);
     }
 }
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -135,7 +135,7 @@
     EXPECT_TRUE(lag.ask_now(own, peer, patience, now + patience + seconds{1}));
 }
 
-TEST(lag_watch, lets_a_host_be_that_is_a_little_behind_all_the_time)
+TEST(lag_watch, asks_for_nothing_while_each_change_arrives_soon)
 {
     lag_watch lag;
     mono_time now{seconds{100}};
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -41,7 +41,7 @@
 
 TEST(host_settings, are_read_from_the_deployments_template)
 {
-    // Placeholders become the words of the platform; here a word of the right form does.
+    // The platform replaces the placeholders; null keeps the template valid JSON.
     std::ifstream file(COVE_SOURCE_DIR "/deploy/settings.json");
     ASSERT_TRUE(file);
     std::string const text{std::istreambuf_iterator<char>(file), {}};
@@ -168,7 +168,7 @@
             entry.slots = 4;
             entries.push_back(entry);
         }
-        store.targets_listed(entries, revision(at));
+        store.targets_listed({entries, revision(at)});
     }
 
     /** Sends one request and waits for its answer. */
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -242,9 +242,9 @@
     host_report full = report("a1", "a");
     full.leaving = true;
     full.store_lost = true;
-    full.config_version = generation(7);
-    full.targets_at = revision(8);
-    full.evacuations_at = revision(9);
+    full.versions.config = generation(7);
+    full.versions.targets = revision(8);
+    full.versions.evacuations = revision(9);
     full.loads = {{service_id("desk"), 4, 6, 2.5, 3}};
     target_entry entry;
     entry.id = target_id("t");
@@ -261,7 +261,7 @@
     status.zone = zone_id("b");
     status.speaker = node_id("b1");
     status.sequence = 12;
-    status.targets_at = revision(10);
+    status.versions.targets = revision(10);
     status.loads = full.loads;
     status.roster = {{node_id("b1"), zone_id("b"), "10.0.0.3", "10.0.0.3:80", host_life(3)}};
     gossip const hello{node_id("a1"), "ip-a1", {full}, {status}, true};
@@ -271,14 +271,14 @@
     auto const& back = std::get<gossip>(*heard).reports.at(0);
     EXPECT_EQ(back.name, full.name);
     EXPECT_TRUE(back.leaving && back.store_lost && std::get<gossip>(*heard).answer_wanted);
-    EXPECT_EQ(back.targets_at, full.targets_at);
+    EXPECT_EQ(back.versions.targets, full.versions.targets);
     EXPECT_EQ(back.loads.at(0).listed, 6);
     ASSERT_EQ(back.running.size(), 2U);
     EXPECT_EQ(back.running.at(0).target, 77U);
     EXPECT_EQ(back.running.at(0).running, 2);
     auto const& zone = std::get<gossip>(*heard).zones.at(0);
     EXPECT_EQ(zone.sequence, 12U);
-    EXPECT_EQ(zone.targets_at, revision(10));
+    EXPECT_EQ(zone.versions.targets, revision(10));
     EXPECT_EQ(zone.loads.at(0).listed, 6);
     EXPECT_EQ(zone.roster, status.roster);
     EXPECT_EQ(std::get<gossip>(*heard).sender_ip, "ip-a1");
