Keep the cost of a host's tick independent of the size of the fleet

Cause: a profile of the large fleet had 53 % of a host's own time in its tick: each tick sorted all hosts once for each zone and service to divide quotas (27 %), copied the list of all hosts and all rosters (10 %), walked all targets three times, encoded a report once for each receiver, and each change of a target rebuilt the whole list (9 %). Change: what depends on the list of hosts is derived when that list changes; only targets in use are walked; a message is encoded once; changes of targets are applied as such.

--- a/src/directory/remote_quotas.cpp
+++ b/src/directory/remote_quotas.cpp
@@ -3,7 +3,7 @@
 #include "core/hash_func.h"
 
 #include <algorithm>
-#include <map>
+#include <tuple>
 
 namespace cove {
 
@@ -15,54 +15,55 @@
 /// Share of the spare slots that is granted; only half, as reports may be up to one second old.
 constexpr double granted_share = 0.5;
 
-std::map<zone_id, reported_load> loads_by_zone(std::vector<zone_report> const& reports,
-                                               service_id const& service)
+} // namespace
+
+void quota_division::set_hosts(std::vector<quota_host> const& hosts)
 {
-    std::map<zone_id, reported_load> out;
-    for (zone_report const& report : reports) {
-        reported_load& known = out[report.zone];
-        for (reported_load const& load : report.loads) {
-            if (load.service == service) {
-                known = load;
+    positions_.clear();
+    auto const self = std::find_if(hosts.begin(), hosts.end(),
+                                   [this](quota_host const& host) { return host.host == self_; });
+    if (self == hosts.end()) {
+        return; // the other hosts do not count this one yet
+    }
+    for (quota_host const& host : hosts) {
+        if (host.zone != self->zone) {
+            positions_.try_emplace(host.zone);
+        }
+    }
+    for (auto& [zone, position] : positions_) {
+        auto const zone_seed = stable_hash(zone.value);
+        auto const own_hash = stable_hash(self_.value, zone_seed);
+        for (quota_host const& host : hosts) {
+            if (host.zone == zone) {
+                continue;
             }
+            auto const hash = stable_hash(host.host.value, zone_seed);
+            ++position.hosts;
+            position.rank += std::tie(hash, host.host) < std::tie(own_hash, self_) ? 1 : 0;
         }
     }
-    return out;
 }
 
-} // namespace
+int quota_division::part_of(zone_id const& zone, int quota) const
+{
+    auto const found = positions_.find(zone);
+    if (found == positions_.end() || found->second.hosts == 0 || quota <= 0) {
+        return 0;
+    }
+    auto const [rank, hosts] = found->second;
+    return quota / hosts + (rank < quota % hosts ? 1 : 0);
+}
 
-std::vector<granted_quota> compute_remote_quotas(std::vector<zone_report> const& reports,
-                                                 node_id const& self)
+std::vector<granted_quota> compute_remote_quotas(std::vector<zone_load> const& zones,
+                                                 quota_division const& division)
 {
     std::vector<granted_quota> out;
-    std::vector<service_id> services;
-    for (zone_report const& report : reports) {
-        for (reported_load const& load : report.loads) {
-            if (std::find(services.begin(), services.end(), load.service) == services.end()) {
-                services.push_back(load.service);
-            }
-        }
-    }
-    for (service_id const& service : services) {
-        auto const loads = loads_by_zone(reports, service);
-        for (auto const& [zone, load] : loads) {
+    for (zone_load const& zone : zones) {
+        for (reported_load const& load : zone.loads) {
             auto const quota =
                 static_cast<int>(granted_share * (max_utilization * load.slots - load.busy));
-            std::vector<std::pair<std::uint64_t, node_id>> remote_hosts;
-            for (zone_report const& report : reports) {
-                if (report.zone != zone) {
-                    remote_hosts.emplace_back(
-                        stable_hash(report.host.value, stable_hash(zone.value)), report.host);
-                }
-            }
-            std::sort(remote_hosts.begin(), remote_hosts.end());
-            for (std::size_t rank = 0; rank < remote_hosts.size() && quota > 0; ++rank) {
-                auto const count = static_cast<int>(remote_hosts.size());
-                int const share = quota / count + (static_cast<int>(rank) < quota % count ? 1 : 0);
-                if (remote_hosts[rank].second == self && share > 0) {
-                    out.push_back({zone, service, share});
-                }
+            if (int const part = division.part_of(zone.zone, quota); part > 0) {
+                out.push_back({zone.zone, load.service, part});
             }
         }
     }
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -101,7 +101,7 @@
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
       shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
-      started_(read_clocks().mono)
+      started_(read_clocks().mono), quota_division_(node_id(settings_.name))
 {
     forwarder_.attach(clients_);
 }
@@ -342,14 +342,6 @@
                read_clocks().mono);
 }
 
-/** Gives the request forwarder the list of targets, if it @p changed. */
-void entry_host::forward_targets(bool changed)
-{
-    if (changed) {
-        forwarder_.set_targets(targets_.entries());
-    }
-}
-
 bool entry_host::ready() const
 {
     return config_ && targets_known_;
@@ -389,7 +381,8 @@
         zones[zone].zone = zone;
         zones[zone].region = region;
     }
-    for (roster_host const& host : view_.serving(now)) {
+    update_serving_hosts(now);
+    for (directory_host const& host : directory_hosts_) {
         if (auto const zone = zones.find(host.zone); zone != zones.end()) {
             zone->second.usable = true;
         }
@@ -435,15 +428,9 @@
     if (forwarder_.routes() != nullptr) {
         query.regions = forwarder_.routes()->home_regions(lookup->host);
     }
-    std::vector<directory_host> hosts;
-    for (roster_host const& host : view_.serving(now)) {
-        auto const region = settings_.regions.find(host.zone);
-        hosts.push_back({host.zone,
-                         region == settings_.regions.end() ? region_id() : region->second,
-                         host.client_address});
-    }
-    auto const addresses =
-        choose_hosts(query, shares_.shares_of(lookup->zone), hosts, max_lookup_addresses);
+    update_serving_hosts(now);
+    auto const addresses = choose_hosts(query, shares_.shares_of(lookup->zone), directory_hosts_,
+                                        max_lookup_addresses);
     if (addresses.empty()) {
         directory_.respond(call, http_response(http::status::service_unavailable, http_version));
         return;
@@ -456,7 +443,7 @@
 }
 
 /** @return request histograms and gauges of this host's state, as Prometheus text. */
-std::string entry_host::metrics_text() const
+std::string entry_host::metrics_text()
 {
     mono_time const now = read_clocks().mono;
     known_versions const known = versions();
@@ -471,7 +458,8 @@
     gauge("evacuated_zones", evacuated_.size());
     gauge("open_requests", forwarder_.open_requests());
     gauge("client_connections", clients_.connections());
-    gauge("serving_hosts", view_.serving(now).size());
+    update_serving_hosts(now);
+    gauge("serving_hosts", directory_hosts_.size());
     gauge("zones_heard", view_.zones(now).size());
     gauge("follows_store", follows_store_ ? 1 : 0);
     gauge("store_lost", store_lost() ? 1 : 0);
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -72,7 +72,7 @@
     void apply(target_snapshot const& list);
     void apply(evacuation_snapshot const& list);
     void push_to_zone(host_message const& message);
-    void forward_targets(bool changed);
+    void forward_changes(targets_changed const& changes);
 
     void tick();
     void send(host_effects const& effects);
@@ -83,13 +83,13 @@
     [[nodiscard]] bool store_lost() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] known_versions versions() const;
-    [[nodiscard]] std::vector<remote_quota> remote_quotas(std::vector<roster_host> const& hosts,
-                                                          mono_time now) const;
+    void update_serving_hosts(mono_time now);
+    [[nodiscard]] std::vector<remote_quota> remote_quotas(mono_time now) const;
 
     void answer_readiness(call_id call, http_request const& request);
     void answer_lookup(call_id call, http_request const& request);
     void answer_metrics(call_id call, http_request const& request);
-    [[nodiscard]] std::string metrics_text() const;
+    [[nodiscard]] std::string metrics_text();
 
     boost::asio::io_context& loop_;
     loop_timers& timers_;
@@ -116,6 +116,11 @@
     bool targets_known_ = false;
     share_limiter shares_;
     mono_time started_;
+    // Derived from the list of serving hosts:
+    std::uint64_t serving_version_ = 0; ///< of the list
+    std::vector<directory_host> directory_hosts_;
+    std::vector<node_id> zone_serving_; ///< serving hosts of this zone
+    quota_division quota_division_;
     lag_detector lag_;
     /// This host is one of those that watch the store; the others get changes from them.
     bool follows_store_ = false;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -22,42 +22,66 @@
 void entry_host::send(host_effects const& effects)
 {
     for (outgoing_host_message const& effect : effects) {
-        transport_.send(effect.ip, encode_host_message(effect.message));
+        if (effect.ips.empty()) {
+            continue;
+        }
+        std::string const bytes = encode_host_message(effect.message);
+        for (std::string const& ip : effect.ips) {
+            transport_.send(ip, bytes);
+        }
     }
 }
 
 void entry_host::tick()
 {
     mono_time const now = read_clocks().mono;
-    if (targets_.expire(now)) {
-        forward_targets(true);
-    }
+    forward_changes({{}, targets_.expire(now)});
     send(view_.tick(state(), now));
     report_peers(now);
     update_store_following(now);
     pull_if_behind(now);
 }
 
-void entry_host::report_peers(mono_time now)
+/** Derives what depends only on the list of serving hosts, when that list has changed. */
+void entry_host::update_serving_hosts(mono_time now)
 {
-    auto const serving = view_.serving(now);
-    peers_reported peers;
-    peers.hosts_in_total = static_cast<int>(serving.size());
-    peers.remote_quotas = remote_quotas(serving, now);
-    for (roster_host const& host : serving) {
+    std::uint64_t const version = view_.serving_version(now);
+    if (version == serving_version_) {
+        return;
+    }
+    serving_version_ = version;
+    directory_hosts_.clear();
+    zone_serving_.clear();
+    std::vector<quota_host> sharing;
+    for (roster_host const& host : view_.serving(now)) {
+        auto const region = settings_.regions.find(host.zone);
+        directory_hosts_.push_back(
+            {host.zone, region == settings_.regions.end() ? region_id() : region->second,
+             host.client_address});
+        sharing.push_back({host.name, host.zone});
         if (host.zone == zone_id(settings_.zone)) {
-            peers.hosts_in_zone.push_back(host.name);
+            zone_serving_.push_back(host.name);
         }
     }
+    quota_division_.set_hosts(sharing);
+}
+
+void entry_host::report_peers(mono_time now)
+{
+    update_serving_hosts(now);
+    peers_reported peers;
+    peers.hosts_in_total = static_cast<int>(directory_hosts_.size());
+    peers.remote_quotas = remote_quotas(now);
+    peers.hosts_in_zone = zone_serving_;
     if (now < started_ + discovery_time) {
         peers.zone_peers_known = hosts_listed_;
         auto const unconfirmed = view_.unconfirmed_zone_peers();
         peers.hosts_in_zone.insert(peers.hosts_in_zone.end(), unconfirmed.begin(),
                                    unconfirmed.end());
     }
-    for (host_report const& host : view_.zone_hosts(now)) {
-        if (host.name != node_id(settings_.name)) {
-            for (target_in_flight const& entry : host.targets_in_flight) {
+    for (host_report const* const host : view_.zone_hosts(now)) {
+        if (host->name != node_id(settings_.name)) {
+            for (target_in_flight const& entry : host->targets_in_flight) {
                 peers.in_flight_by_target[entry.target] += entry.in_flight;
             }
         }
@@ -66,26 +90,18 @@
 }
 
 /** @return how many requests this host may have in flight at the targets of each other zone. */
-std::vector<remote_quota> entry_host::remote_quotas(std::vector<roster_host> const& hosts,
-                                                    mono_time now) const
+std::vector<remote_quota> entry_host::remote_quotas(mono_time now) const
 {
-    std::map<zone_id, std::vector<reported_load>> loads;
+    std::vector<zone_load> zones;
     for (zone_status const& zone : view_.zones(now)) {
-        for (service_load_report const& load : zone.loads) {
-            loads[zone.zone].push_back({load.service, load.slots, load.busy + load.waiting});
-        }
-    }
-    std::vector<zone_report> reports;
-    for (roster_host const& host : hosts) {
-        zone_report report{host.name, host.zone, {}};
-        if (auto const found = loads.find(host.zone); found != loads.end()) {
-            report.loads = std::move(found->second); // reported once per zone, with its first host
-            loads.erase(found);
+        zone_load load{zone.zone, {}};
+        for (service_load_report const& report : zone.loads) {
+            load.loads.push_back({report.service, report.slots, report.busy + report.waiting});
         }
-        reports.push_back(std::move(report));
+        zones.push_back(std::move(load));
     }
     std::vector<remote_quota> out;
-    for (granted_quota const& quota : compute_remote_quotas(reports, node_id(settings_.name))) {
+    for (granted_quota const& quota : compute_remote_quotas(zones, quota_division_)) {
         out.push_back({quota.zone, quota.service, quota.requests});
     }
     return out;
@@ -105,8 +121,8 @@
             from_other_zone = other_zone;
         }
     };
-    for (host_report const& host : view_.zone_hosts(now)) {
-        consider(host, false);
+    for (host_report const* const host : view_.zone_hosts(now)) {
+        consider(*host, false);
     }
     if (source_ip.empty()) {
         for (zone_status const& zone : view_.zones(now)) {
@@ -179,7 +195,9 @@
 void entry_host::apply(target_snapshot const& list)
 {
     targets_known_ = true;
-    forward_targets(targets_.replace(list.entries, list.at, read_clocks().mono));
+    if (targets_.replace(list.entries, list.at, read_clocks().mono)) {
+        forwarder_.set_targets(targets_.entries());
+    }
 }
 
 void entry_host::apply(evacuation_snapshot const& list)
@@ -204,16 +222,18 @@
     if (!contiguous || message.to <= targets_.current_revision()) {
         return false; // after a gap, the host pulls the whole list
     }
+    mono_time const now = read_clocks().mono;
+    targets_changed changed;
     for (target_change const& change : message.changes) {
-        if (change.entry) {
-            targets_.put(*change.entry);
+        if (change.entry && targets_.put(*change.entry)) {
+            changed.updated.push_back(*change.entry);
         }
-        else {
-            targets_.remove(change.id, read_clocks().mono);
+        else if (!change.entry && targets_.remove(change.id, now)) {
+            changed.removed.push_back(change.id);
         }
     }
     targets_.advance(message.to);
-    forward_targets(!message.changes.empty());
+    forward_changes(changed);
     return true;
 }
 
@@ -222,6 +242,13 @@
     apply(message);
 }
 
+void entry_host::forward_changes(targets_changed const& changes)
+{
+    if (!changes.updated.empty() || !changes.removed.empty()) {
+        forwarder_.change_targets(changes);
+    }
+}
+
 /** Sends @p message to all other live hosts of this zone. */
 void entry_host::push_to_zone(host_message const& message)
 {
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -314,6 +314,14 @@
     feed(targets_listed{entries});
 }
 
+void request_forwarder::change_targets(targets_changed const& changes)
+{
+    for (target_id const& id : changes.removed) {
+        pool_.drop(id);
+    }
+    feed(changes);
+}
+
 void request_forwarder::set_evacuations(std::set<zone_id> const& zones)
 {
     feed(evacuations_listed{zones});
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -43,6 +43,7 @@
 
     void set_config(routing_config const& config);
     void set_targets(std::vector<target_entry> const& entries);
+    void change_targets(targets_changed const& changes);
     void set_evacuations(std::set<zone_id> const& zones);
     void set_peers(peers_reported const& peers);
 
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -80,6 +80,18 @@
     });
 }
 
+void target_connection_pool::drop(target_id const& target)
+{
+    auto const found = idle_.find(target);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (connection const& each : found->second) {
+        each->close();
+    }
+    idle_.erase(found);
+}
+
 void target_connection_pool::sweep()
 {
     mono_time const now = read_clocks().mono;
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -39,6 +39,9 @@
     /** Closes the connections to targets that are not in @p targets. */
     void keep_only(std::set<target_id> const& targets);
 
+    /** Closes the idle connections to @p target. */
+    void drop(target_id const& target);
+
 private:
     void sweep();
 
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -85,6 +85,7 @@
 
 void host_view::refresh_self(local_host_state const& own)
 {
+    serving_changed_ = serving_changed_ || self_.leaving != own.leaving || self_.ready != own.ready;
     ++self_.sequence;
     self_.leaving = own.leaving;
     self_.ready = own.ready;
@@ -94,12 +95,12 @@
     self_.targets_in_flight = own.targets_in_flight;
 }
 
-std::vector<host_report> host_view::zone_hosts(mono_time now) const
+std::vector<host_report const*> host_view::zone_hosts(mono_time now) const
 {
-    std::vector<host_report> out{self_};
+    std::vector<host_report const*> out{&self_};
     for (auto const& [name, host] : zone_peers_) {
         if (is_alive(host, now)) {
-            out.push_back(host.report);
+            out.push_back(&host.report);
         }
     }
     return out;
@@ -108,9 +109,10 @@
 std::vector<roster_host> host_view::own_roster(mono_time now) const
 {
     std::vector<roster_host> out;
-    for (host_report const& host : zone_hosts(now)) {
-        if (host.ready && !host.leaving) {
-            out.push_back({host.name, host.zone, host.ip, host.client_address, host.incarnation});
+    for (host_report const* const host : zone_hosts(now)) {
+        if (host->ready && !host->leaving) {
+            out.push_back(
+                {host->name, host->zone, host->ip, host->client_address, host->incarnation});
         }
     }
     std::sort(out.begin(), out.end(), [](auto const& a, auto const& b) { return a.name < b.name; });
@@ -136,15 +138,18 @@
     out.incarnation = self_.incarnation;
     out.sequence = self_.sequence;
     out.ip = self_.ip;
-    node_id reporter; // the serving host with the lowest name reports the zone's target loads
-    for (host_report const& host : zone_hosts(now)) {
-        out.versions.merge(host.versions);
-        bool const serves = host.ready && !host.leaving;
-        if (serves && (reporter.value.empty() || host.name < reporter)) {
-            reporter = host.name;
-            out.loads = host.loads;
+    // The serving host with the lowest name reports the zone's target loads.
+    host_report const* reporter = nullptr;
+    for (host_report const* const host : zone_hosts(now)) {
+        out.versions.merge(host->versions);
+        bool const serves = host->ready && !host->leaving;
+        if (serves && (reporter == nullptr || host->name < reporter->name)) {
+            reporter = host;
         }
     }
+    if (reporter != nullptr) {
+        out.loads = reporter->loads;
+    }
     if (with_roster) {
         out.roster = own_roster(now);
     }
@@ -153,7 +158,10 @@
 
 gossip host_view::full_gossip(mono_time now, bool answer_wanted) const
 {
-    gossip message{self_.name, self_.ip, zone_hosts(now), {own_status(now, true)}, answer_wanted};
+    gossip message{self_.name, self_.ip, {}, {own_status(now, true)}, answer_wanted};
+    for (host_report const* const host : zone_hosts(now)) {
+        message.reports.push_back(*host);
+    }
     for (auto const& [name, zone] : remote_zones_) {
         if (is_alive(zone, now)) {
             message.zones.push_back(zone.status);
@@ -169,14 +177,16 @@
         message.zones.push_back(status);
     }
     std::uint64_t turn = ticks_;
+    std::vector<std::string> ips;
     for (auto const& [name, host] : zone_peers_) {
         if (!is_alive(host, now)) {
             continue;
         }
         if (turn++ % ticks_per_zone_round() == 0 || !message.zones.empty()) {
-            out.push_back({host.report.ip, message});
+            ips.push_back(host.report.ip);
         }
     }
+    out.push_back({std::move(ips), std::move(message)});
     statuses_to_relay_.clear();
 }
 
@@ -191,15 +201,17 @@
     gossip const message{
         self_.name, self_.ip, {}, {own_status(now, refresh || roster_rounds_left_ > 0)}, false};
     roster_rounds_left_ -= roster_rounds_left_ > 0 ? 1 : 0;
+    std::vector<std::string> ips;
     for (auto const& [name, zone] : remote_zones_) {
         auto const hosts = roster_of(zone);
         if (is_alive(zone, now) && !hosts.empty()) {
-            out.push_back({hosts[random_below(random_, hosts.size())].ip, message});
+            ips.push_back(hosts[random_below(random_, hosts.size())].ip);
         }
         else if (is_alive(zone, now)) {
-            out.push_back({zone.status.ip, message}); // no host of that zone is ready yet
+            ips.push_back(zone.status.ip); // no host of that zone is ready yet
         }
     }
+    out.push_back({std::move(ips), message});
 }
 
 /** @return the IPs of known hosts that are neither live zone peers nor in a live zone's roster. */
@@ -237,19 +249,17 @@
     gossip const hello{self_.name, self_.ip, {self_}, {own_status(now, true)}, true};
     bool const alone = zone_peer_ips(now).empty() && zones(now).size() == 1;
     if (alone) {
-        for (std::string const& ip : ips) {
-            out.push_back({ip, hello});
-        }
+        out.push_back({std::move(ips), hello});
         return;
     }
-    std::size_t sent = 0;
+    std::vector<std::string> receivers;
     for (auto const& [name, host] : zone_peers_) {
-        if (!host.has_reported && sent < gossip_fanout) { // zone peers come first
-            ++sent;
-            out.push_back({host.report.ip, hello});
+        if (!host.has_reported && receivers.size() < gossip_fanout) { // zone peers come first
+            receivers.push_back(host.report.ip);
         }
     }
-    out.push_back({ips[random_below(random_, ips.size())], hello});
+    receivers.push_back(ips[random_below(random_, ips.size())]);
+    out.push_back({std::move(receivers), hello});
 }
 
 host_effects host_view::tick(local_host_state const& own, mono_time now)
@@ -271,19 +281,15 @@
 {
     host_effects out;
     refresh_self(own);
-    gossip const message{self_.name, self_.ip, {self_}, {}, false};
-    for (auto const& [name, host] : zone_peers_) {
-        if (is_alive(host, now)) {
-            out.push_back({host.report.ip, message});
-        }
-    }
+    std::vector<std::string> ips = zone_peer_ips(now);
     for (auto const& [name, zone] : remote_zones_) {
         if (is_alive(zone, now)) {
             for (roster_host const& host : roster_of(zone)) {
-                out.push_back({host.ip, message});
+                ips.push_back(host.ip);
             }
         }
     }
+    out.push_back({std::move(ips), gossip{self_.name, self_.ip, {self_}, {}, false}});
     return out;
 }
 
@@ -296,8 +302,9 @@
         remote_host& known = remote_hosts_[report.name];
         known.zone = report.zone;
         known.ip = report.ip;
-        if (report.leaving) {
+        if (report.leaving && known.left_incarnation != report.incarnation) {
             known.left_incarnation = report.incarnation;
+            serving_changed_ = true;
         }
         return;
     }
@@ -306,6 +313,10 @@
         !host.has_reported || report.incarnation > host.report.incarnation ||
         (report.incarnation == host.report.incarnation && report.sequence > host.report.sequence);
     if (newer) {
+        serving_changed_ = serving_changed_ || !host.has_reported ||
+                           report.incarnation != host.report.incarnation ||
+                           report.ready != host.report.ready ||
+                           report.leaving != host.report.leaving;
         host = {report, now, true};
     }
 }
@@ -330,6 +341,8 @@
     if (!inserted && !newer) {
         return;
     }
+    serving_changed_ =
+        serving_changed_ || inserted || (status.roster && status.roster != known.status.roster);
     if (!inserted) {
         auto roster = std::move(known.status.roster);
         known = {status, now};
@@ -359,19 +372,54 @@
     if (!message.answer_wanted || message.sender_ip.empty() || message.sender == self_.name) {
         return {};
     }
-    return {{message.sender_ip, full_gossip(now, false)}};
+    return {{{message.sender_ip}, full_gossip(now, false)}};
 }
 
-std::vector<roster_host> host_view::serving(mono_time now) const
+/** @return whether each zone peer and each other zone is alive, in the order of their names. */
+std::vector<bool> host_view::liveness(mono_time now) const
 {
-    std::vector<roster_host> out = own_roster(now);
+    std::vector<bool> out;
+    out.reserve(zone_peers_.size() + remote_zones_.size());
+    for (auto const& [name, host] : zone_peers_) {
+        out.push_back(is_alive(host, now));
+    }
+    for (auto const& [name, zone] : remote_zones_) {
+        out.push_back(is_alive(zone, now));
+    }
+    return out;
+}
+
+void host_view::refresh_serving(mono_time now)
+{
+    auto alive = liveness(now);
+    if (!serving_changed_ && alive == serving_liveness_) {
+        return;
+    }
+    serving_changed_ = false;
+    serving_liveness_ = std::move(alive);
+    std::vector<roster_host> hosts = own_roster(now);
     for (auto const& [name, zone] : remote_zones_) {
         if (is_alive(zone, now)) {
-            auto const hosts = roster_of(zone);
-            out.insert(out.end(), hosts.begin(), hosts.end());
+            auto const roster = roster_of(zone);
+            hosts.insert(hosts.end(), roster.begin(), roster.end());
         }
     }
-    return out;
+    if (hosts != serving_) {
+        serving_ = std::move(hosts);
+        ++serving_version_;
+    }
+}
+
+std::vector<roster_host> const& host_view::serving(mono_time now)
+{
+    refresh_serving(now);
+    return serving_;
+}
+
+std::uint64_t host_view::serving_version(mono_time now)
+{
+    refresh_serving(now);
+    return serving_version_;
 }
 
 std::vector<zone_status> host_view::zones(mono_time now) const
@@ -379,8 +427,9 @@
     std::vector<zone_status> out{own_status(now, false)};
     for (auto const& [name, zone] : remote_zones_) {
         if (is_alive(zone, now)) {
-            out.push_back(zone.status);
-            out.back().roster.reset();
+            zone_status const& known = zone.status;
+            out.push_back({known.zone, known.speaker, known.incarnation, known.sequence, known.ip,
+                           known.versions, known.loads, std::nullopt});
         }
     }
     return out;
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -9,9 +9,9 @@
 
 namespace cove {
 
-/** A message to send to the entry host at an IP. */
+/** A message to send to the entry hosts at some IPs. */
 struct outgoing_host_message {
-    std::string ip;
+    std::vector<std::string> ips;
     host_message message;
 };
 
@@ -81,11 +81,18 @@
     /** Merges the reports and statuses of a received message. @return the answer, if one is due. */
     host_effects receive(gossip const& message, mono_time now);
 
-    /** @return live hosts of all zones that accept requests, this one included if it does. */
-    [[nodiscard]] std::vector<roster_host> serving(mono_time now) const;
+    /**
+     * @return live hosts of all zones that accept requests, this one included if it does. The list
+     * is made anew only after a change, because it names every host of the deployment.
+     */
+    std::vector<roster_host> const& serving(mono_time now);
+
+    /** @return a number that changes whenever serving() returns another list. */
+    std::uint64_t serving_version(mono_time now);
 
-    /** @return live hosts of this zone, this one first. */
-    [[nodiscard]] std::vector<host_report> zone_hosts(mono_time now) const;
+    /** @return reports of the live hosts of this zone, this one first; valid until the next call
+     * of a member that changes the view. */
+    [[nodiscard]] std::vector<host_report const*> zone_hosts(mono_time now) const;
 
     /** @return zone peers known by name and address from which no report was ever received. */
     [[nodiscard]] std::vector<node_id> unconfirmed_zone_peers() const;
@@ -113,6 +120,8 @@
     [[nodiscard]] bool is_alive(remote_zone const& zone, mono_time now) const;
     [[nodiscard]] bool is_speaker(mono_time now) const;
     [[nodiscard]] std::vector<roster_host> own_roster(mono_time now) const;
+    [[nodiscard]] std::vector<bool> liveness(mono_time now) const;
+    void refresh_serving(mono_time now);
     [[nodiscard]] std::vector<roster_host> roster_of(remote_zone const& zone) const;
     [[nodiscard]] zone_status own_status(mono_time now, bool with_roster) const;
     [[nodiscard]] std::vector<std::string> discovery_ips(mono_time now) const;
@@ -134,6 +143,10 @@
     std::vector<roster_host> last_sent_roster_;        ///< of this zone
     std::uint64_t roster_rounds_left_ = 0; ///< rounds between zones that still send the roster
     std::uint64_t ticks_ = 0;
+    std::vector<roster_host> serving_; ///< result of serving()
+    std::uint64_t serving_version_ = 0;
+    bool serving_changed_ = true;        ///< a host has joined, left or changed
+    std::vector<bool> serving_liveness_; ///< liveness() at which serving_ was made
 };
 
 } // namespace cove
--- a/src/traffic/target_list.cpp
+++ b/src/traffic/target_list.cpp
@@ -35,34 +35,38 @@
             vanished.push_back(id);
         }
     }
-    bool changed = false;
+    bool changed = !vanished.empty();
     for (target_id const& id : vanished) {
         remove(id, now);
     }
     for (auto const& [id, entry] : listed) {
-        auto const known = entries_.find(id);
-        changed = changed || known == entries_.end() || known->second != entry;
-        put(entry);
+        changed = put(entry) || changed;
     }
     revision_ = at;
-    return changed || !vanished.empty();
+    return changed;
 }
 
-void target_list::put(target_entry const& entry)
+bool target_list::put(target_entry const& entry)
 {
-    entries_[entry.id] = entry;
     pending_removals_.erase(entry.id);
+    auto const [found, inserted] = entries_.try_emplace(entry.id, entry);
+    if (inserted) {
+        return true;
+    }
+    bool const changed = found->second != entry;
+    found->second = entry;
+    return changed;
 }
 
-void target_list::remove(target_id const& id, mono_time now)
+bool target_list::remove(target_id const& id, mono_time now)
 {
     bool const recovering = store_recovered_at_ && now < *store_recovered_at_ + recovery_grace_;
     if (recovering && entries_.contains(id)) {
         pending_removals_.try_emplace(id, *store_recovered_at_ + recovery_grace_);
-        return;
+        return false;
     }
-    entries_.erase(id);
     pending_removals_.erase(id);
+    return entries_.erase(id) > 0;
 }
 
 void target_list::advance(revision at)
@@ -75,18 +79,19 @@
     store_recovered_at_ = now;
 }
 
-bool target_list::expire(mono_time now)
+std::vector<target_id> target_list::expire(mono_time now)
 {
-    std::size_t const before = entries_.size();
+    std::vector<target_id> out;
     for (auto it = pending_removals_.begin(); it != pending_removals_.end();) {
         if (it->second > now) {
             ++it;
             continue;
         }
         entries_.erase(it->first);
+        out.push_back(it->first);
         it = pending_removals_.erase(it);
     }
-    return entries_.size() != before;
+    return out;
 }
 
 std::vector<target_entry> target_list::entries() const
--- a/src/traffic/target_list.h
+++ b/src/traffic/target_list.h
@@ -25,11 +25,14 @@
     /** Replaces the list unless @p at is older than its revision. @return whether it changed. */
     bool replace(std::vector<target_entry> const& entries, revision at, mono_time now);
 
-    /** Adds or updates one entry. */
-    void put(target_entry const& entry);
+    /** Adds or updates one entry. @return whether the list changed. */
+    bool put(target_entry const& entry);
 
-    /** Removes one entry, after the grace period if the store is recovering from an outage. */
-    void remove(target_id const& id, mono_time now);
+    /**
+     * Removes one entry, after the grace period if the store is recovering from an outage.
+     * @return whether it was removed now.
+     */
+    bool remove(target_id const& id, mono_time now);
 
     /** Raises the revision of the list to @p at. */
     void advance(revision at);
@@ -37,8 +40,8 @@
     /** Starts the grace period: the store answers again after an outage. */
     void store_recovered(mono_time now);
 
-    /** Removes entries whose grace period has ended. @return whether there were any. */
-    bool expire(mono_time now);
+    /** Removes entries whose grace period has ended. @return these entries. */
+    std::vector<target_id> expire(mono_time now);
 
     [[nodiscard]] std::vector<target_entry> entries() const;
     [[nodiscard]] revision current_revision() const { return revision_; }
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -170,18 +170,62 @@
 void traffic::on(targets_listed const& event)
 {
     std::set<target_id> listed;
-    targets_by_service_.clear();
-    ++list_version_;
     for (target_entry const& entry : event.entries) {
         listed.insert(entry.id);
-        auto const [found, fresh] = targets_.try_emplace(entry.id, entry, now_);
-        if (!fresh && found->second.entry() != entry) {
-            found->second.update(entry, now_);
-        }
-        service_targets& targets = targets_by_service_[entry.service];
-        (entry.zone == settings_.zone ? targets.local : targets.remote).push_back(&found->second);
+        put_target(entry);
     }
     std::erase_if(targets_, [&listed](auto const& item) { return !listed.contains(item.first); });
+    index_targets();
+    dispatch_all_queues();
+}
+
+void traffic::on(targets_changed const& event)
+{
+    bool index_outdated = false;
+    for (target_entry const& entry : event.updated) {
+        index_outdated = put_target(entry) || index_outdated;
+    }
+    for (target_id const& id : event.removed) {
+        index_outdated = targets_.erase(id) > 0 || index_outdated;
+    }
+    if (index_outdated) {
+        index_targets();
+    }
+    dispatch_all_queues();
+}
+
+/** Adds or updates a target. @return whether index_targets() is needed. */
+bool traffic::put_target(target_entry const& entry)
+{
+    auto const [found, inserted] = targets_.try_emplace(entry.id, entry, now_);
+    if (inserted) {
+        return true;
+    }
+    target_state& target = found->second;
+    bool const moved = target.entry().service != entry.service || target.entry().zone != entry.zone;
+    if (target.entry() != entry) {
+        target.update(entry, now_);
+    }
+    return moved;
+}
+
+void traffic::index_targets()
+{
+    targets_by_service_.clear();
+    targets_by_hash_.clear();
+    ++list_version_;
+    for (auto& [id, target] : targets_) {
+        service_targets& targets = targets_by_service_[target.entry().service];
+        (target.entry().zone == settings_.zone ? targets.local : targets.remote).push_back(&target);
+        targets_by_hash_[target.short_hash()] = &target;
+    }
+    for (auto& [id, request] : requests_) {
+        request.queued_for = nullptr; // may have been removed
+    }
+}
+
+void traffic::dispatch_all_queues()
+{
     for (auto const& [service, queue] : std::map(queues_)) {
         dispatch_queue(service);
     }
@@ -212,9 +256,20 @@
     for (remote_quota const& quota : event.remote_quotas) {
         remote_quotas_[{quota.zone, quota.service}] = quota.requests;
     }
-    for (auto& [id, target] : targets_) {
-        auto const found = event.in_flight_by_target.find(target.short_hash());
-        target.peers_running(found == event.in_flight_by_target.end() ? 0 : found->second, now_);
+    auto const set_running = [this](std::uint32_t hash, int count) {
+        if (auto const found = targets_by_hash_.find(hash); found != targets_by_hash_.end()) {
+            found->second->peers_running(count, now_);
+        }
+    };
+    for (std::uint32_t const hash : used_by_peers_) {
+        if (!event.in_flight_by_target.contains(hash)) {
+            set_running(hash, 0);
+        }
+    }
+    used_by_peers_.clear();
+    for (auto const& [hash, count] : event.in_flight_by_target) {
+        set_running(hash, count);
+        used_by_peers_.push_back(hash);
     }
 }
 
@@ -229,9 +284,7 @@
     for (request_id const& id : running) {
         check_attempt(requests_.at(id));
     }
-    for (auto const& [service, queue] : std::map(queues_)) {
-        dispatch_queue(service);
-    }
+    dispatch_all_queues();
 }
 
 /** Refuses a timed-out request; retries an idempotent one whose answer is probably lost. */
@@ -356,9 +409,13 @@
 std::map<std::uint32_t, int> traffic::in_flight_by_target(mono_time now) const
 {
     std::map<std::uint32_t, int> out;
-    for (auto const& [id, target] : targets_) {
-        if (int const count = target.own_load(now); count > 0) {
-            out[target.short_hash()] = count;
+    for (auto const& [id, request] : requests_) {
+        auto const found = request.target ? targets_.find(*request.target) : targets_.end();
+        if (found == targets_.end() || out.contains(found->second.short_hash())) {
+            continue;
+        }
+        if (int const count = found->second.own_load(now); count > 0) {
+            out[found->second.short_hash()] = count;
         }
     }
     return out;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <set>
+#include <unordered_map>
 
 namespace cove {
 
@@ -94,11 +95,15 @@
     void on(attempt_ended const& event);
     void on(client_disconnected const& event);
     void on(targets_listed const& event);
+    void on(targets_changed const& event);
     void on(evacuations_listed const& event);
     void on(services_listed const& event);
     void on(peers_reported const& event);
     void on(timer_tick const& event);
 
+    bool put_target(target_entry const& entry);
+    void index_targets();
+    void dispatch_all_queues();
     void record_outcome(pending_request const& request, attempt_ended const& event);
     void after_failure(pending_request& request, attempt_ended const& event);
     bool retry(pending_request& request);
@@ -131,7 +136,9 @@
     traffic_effects effects_;
     std::map<target_id, target_state> targets_;
     std::map<service_id, service_targets> targets_by_service_;
-    std::uint64_t list_version_ = 1; ///< incremented when targets_ changes
+    std::unordered_map<std::uint32_t, target_state*> targets_by_hash_; ///< by short hash
+    std::vector<std::uint32_t> used_by_peers_; ///< short hashes of targets with requests of peers
+    std::uint64_t list_version_ = 1;           ///< incremented by index_targets()
     std::map<service_id, service_settings> service_settings_;
     std::set<zone_id> evacuated_zones_;
     std::map<request_id, pending_request> requests_;
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -54,6 +54,12 @@
     std::vector<target_entry> entries;
 };
 
+/** Changes of the list of targets since the last such event. */
+struct targets_changed {
+    std::vector<target_entry> updated; ///< new and changed entries
+    std::vector<target_id> removed;
+};
+
 /** The complete set of evacuated zones; their targets get no requests. */
 struct evacuations_listed {
     std::set<zone_id> zones;
@@ -87,6 +93,6 @@
 
 using traffic_event =
     std::variant<request_arrived, attempt_ended, client_disconnected, targets_listed,
-                 evacuations_listed, services_listed, peers_reported, timer_tick>;
+                 targets_changed, evacuations_listed, services_listed, peers_reported, timer_tick>;
 
 } // namespace cove
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -100,15 +100,17 @@
         busy += round.local.back().load;
     }
     auto const& queue = queues_[service];
+    std::unordered_map<target_state const*, int> queued;
     for (request_id const& id : queue) {
         pending_request const& other = requests_.at(id);
-        target_state const* const queued_for = other.queued_for;
-        if (queued_for == nullptr ||
-            (new_request != nullptr && !comes_before(other, *new_request))) {
-            continue;
+        if (other.queued_for != nullptr &&
+            (new_request == nullptr || comes_before(other, *new_request))) {
+            ++queued[other.queued_for];
         }
-        for (placement_candidate& candidate : round.local) {
-            candidate.queued += candidate.target == queued_for ? 1 : 0;
+    }
+    for (placement_candidate& candidate : round.local) {
+        if (auto const found = queued.find(candidate.target); found != queued.end()) {
+            candidate.queued += found->second;
         }
     }
     round.slot_time_weight = slots > 0 ? (busy + static_cast<double>(queue.size())) / slots : 0;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -184,18 +184,21 @@
 {
     auto const loads = *rc::gen::container<std::vector<std::pair<int, int>>>(
         4, rc::gen::pair(rc::gen::inRange(0, 60), rc::gen::inRange(0, 60)));
-    std::vector<zone_report> reports;
+    std::vector<zone_load> zones;
+    std::vector<quota_host> hosts;
     for (std::size_t i = 0; i < loads.size(); ++i) {
         zone_id const name(std::to_string(i));
-        reports.push_back({node_id(name.value + "-1"),
-                           name,
-                           {{service_id("desk"), static_cast<double>(loads[i].first),
-                             static_cast<double>(loads[i].second)}}});
-        reports.push_back({node_id(name.value + "-2"), name, {}});
+        zones.push_back({name,
+                         {{service_id("desk"), static_cast<double>(loads[i].first),
+                           static_cast<double>(loads[i].second)}}});
+        hosts.push_back({node_id(name.value + "-1"), name});
+        hosts.push_back({node_id(name.value + "-2"), name});
     }
     std::map<zone_id, int> granted;
-    for (zone_report const& host : reports) {
-        for (granted_quota const& quota : compute_remote_quotas(reports, host.host)) {
+    for (quota_host const& host : hosts) {
+        quota_division division(host.host);
+        division.set_hosts(hosts);
+        for (granted_quota const& quota : compute_remote_quotas(zones, division)) {
             RC_ASSERT(quota.zone != host.zone);
             granted[quota.zone] += quota.requests;
         }
@@ -208,10 +211,11 @@
 
 TEST(compute_remote_quotas, grants_quota_to_a_zone_without_targets)
 {
-    std::vector<zone_report> const reports{
-        {node_id("a-1"), zone_id("a"), {{service_id("desk"), 0, 5}}},
-        {node_id("b-1"), zone_id("b"), {{service_id("desk"), 40, 4}}}};
-    auto const quotas = compute_remote_quotas(reports, node_id("a-1"));
+    std::vector<zone_load> const zones{{zone_id("a"), {{service_id("desk"), 0, 5}}},
+                                       {zone_id("b"), {{service_id("desk"), 40, 4}}}};
+    quota_division division(node_id("a-1"));
+    division.set_hosts({{node_id("a-1"), zone_id("a")}, {node_id("b-1"), zone_id("b")}});
+    auto const quotas = compute_remote_quotas(zones, division);
     ASSERT_EQ(quotas.size(), 1U);
     EXPECT_EQ(quotas[0].zone, zone_id("b"));
     EXPECT_EQ(quotas[0].requests, 14); // half of 0.8 * 40 - 4
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -61,13 +61,15 @@
     void deliver(std::string const& from, host_effects const& effects)
     {
         for (outgoing_host_message const& effect : effects) {
-            ++sent_messages[from];
-            sent_bytes += encode_host_message(effect.message).size();
-            auto const to = hosts.find(effect.ip);
-            bool const lost = dead.contains(effect.ip) ||
-                              partitioned.contains(from) != partitioned.contains(effect.ip);
-            if (to != hosts.end() && !lost) {
-                deliver(effect.ip, to->second.receive(std::get<gossip>(effect.message), now));
+            for (std::string const& ip : effect.ips) {
+                ++sent_messages[from];
+                sent_bytes += encode_host_message(effect.message).size();
+                auto const to = hosts.find(ip);
+                bool const lost =
+                    dead.contains(ip) || partitioned.contains(from) != partitioned.contains(ip);
+                if (to != hosts.end() && !lost) {
+                    deliver(ip, to->second.receive(std::get<gossip>(effect.message), now));
+                }
             }
         }
     }
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -414,7 +414,7 @@
     list.remove(target_id("b"), now + milliseconds{100});
     EXPECT_EQ(list.entries().size(), 2U);
     list.put(listed("a")); // the store accepted its report
-    EXPECT_TRUE(list.expire(now + milliseconds{1999}));
+    EXPECT_EQ(list.expire(now + milliseconds{1999}).size(), 1U);
     ASSERT_EQ(list.entries().size(), 1U);
     EXPECT_EQ(list.entries()[0].id, target_id("a"));
 }
