--- a/src/bench/membership_bench.cpp
+++ b/src/bench/membership_bench.cpp
@@ -6,9 +6,9 @@
  * per size.
  */
 
+#include "core/scheduler.h"
 #include "net/peer_codec.h"
 #include "node/node.h"
-#include "soak/scheduler.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -1,10 +1,10 @@
 #pragma once
 /** @file The entry hosts of a soak run, which can be started, frozen, stopped and killed. */
 
+#include "core/scheduler.h"
 #include "node/node.h"
 #include "soak/audit.h"
 #include "soak/random_source.h"
-#include "soak/scheduler.h"
 
 namespace cove {
 
