Limit what leaves a region to half of the shift cap, and gather changes of targets

Requests that find no room go to targets of other regions by quota, and the share that does so was not bounded by the cap. Each watch of targets was renewed 150 ms after the last change by two hosts of each zone, and each call is priced. Change: a host sends at most half of the cap of its requests of the last 2 s to other regions while its zone has targets; the first follower of a zone gathers changes for an eighth of the drain time, the second for a third. Tests: of_other_regions_get_less_of_an_overload_than_the_shift_cap had 697 of 897 sent away before.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Pause before the next watch. Changes come in bursts and a watch returns all changes since the
-/// last one, so the pause reduces the number of calls, each of which is charged.
-constexpr milliseconds batch_delay{150};
 constexpr milliseconds first_retry_delay{200};
 /// Short, because the guarantees must hold again within seconds after an outage of the store.
 constexpr milliseconds max_retry_delay{1000};
@@ -81,7 +78,7 @@
         at_ = std::max(at_, answer.at);
         listed_ = true;
         if (active_) {
-            schedule_call(batch_delay);
+            schedule_call(batch_delay_);
         }
         break;
     case follow_status::history_expired:
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -54,9 +54,17 @@
     /** Starts or stops watching. While inactive, changes come from peers instead. */
     void set_active(bool active);
 
+    /**
+     * Sets the pause before the next watch. Changes come in bursts and a watch returns all changes
+     * since the last one, so a longer pause saves calls, each of which is charged.
+     */
+    void set_batch_delay(milliseconds delay) { batch_delay_ = delay; }
+
     /** @return whether the last call succeeded; true before the first one has ended. */
     [[nodiscard]] bool reachable() const { return reachable_; }
 
+    static constexpr milliseconds default_batch_delay{150};
+
 private:
     void call_store();
     void on_answer(follow_result const& answer);
@@ -66,6 +74,7 @@
     loop_timers& timers_;
     follow_calls calls_;
     backoff retry_delays_;
+    milliseconds batch_delay_ = default_batch_delay;
     revision at_;
     bool active_ = false;
     bool listed_ = false;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -21,7 +21,12 @@
 /// Time after the start before this host decides whether it follows the store; until then it does
 /// not know the other hosts of its zone.
 constexpr milliseconds follow_decision_delay{1000};
-constexpr int followers_per_zone = 2;          ///< two, so that no change is missed if one fails
+constexpr int followers_per_zone = 2; ///< two, so that no change is missed if one fails
+/// Pause of the first follower of a zone between two watches of targets, as a fraction of the time
+/// within which a leaving target must be out of use.
+constexpr double leader_batch_fraction = 0.125;
+/// The same for the second one, which only has to notice what the first one misses.
+constexpr double standby_batch_fraction = 0.33;
 constexpr milliseconds store_retry_delay{500}; ///< multiplied by the number of failures so far
 constexpr milliseconds share_update_interval{
     500}; ///< short, so that each step is too small to notice
@@ -59,7 +64,8 @@
     return {node_id(settings.name),
             zone_id(settings.zone),
             settings.regions,
-            {settings.retry_ratio, settings.retry_window, settings.retry_slack}};
+            {settings.retry_ratio, settings.retry_window, settings.retry_slack},
+            settings.shift_cap};
 }
 
 milliseconds fraction_of(milliseconds whole, double fraction)
@@ -214,6 +220,9 @@
         return;
     }
     follows_store_ = view_.follows_store(followers_per_zone, now);
+    bool const leads = view_.follows_store(1, now);
+    target_follower_.set_batch_delay(
+        fraction_of(settings_.drain, leads ? leader_batch_fraction : standby_batch_fraction));
     config_follower_.set_active(follows_store_);
     target_follower_.set_active(follows_store_);
     evacuation_follower_.set_active(follows_store_);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Window of the shift cap.
+constexpr milliseconds cross_region_window{2000};
 /// Time for an answer that the target sends at the deadline to arrive.
 constexpr milliseconds timeout_grace{60};
 
@@ -19,7 +21,8 @@
 } // namespace
 
 traffic::traffic(traffic_settings settings)
-    : settings_(std::move(settings)), retry_limiter_(settings_.retry_limits)
+    : settings_(std::move(settings)), retry_limiter_(settings_.retry_limits),
+      sent_(cross_region_window), sent_cross_region_(cross_region_window)
 {
 }
 
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -20,6 +20,8 @@
     zone_id zone;
     std::map<zone_id, region_id> regions; ///< region of every zone
     retry_limiter_settings retry_limits;
+    /// Share of a region's requests that may change region within cross_region_window.
+    double shift_cap = 1;
 };
 
 /** A request that is queued or in progress. */
@@ -125,6 +127,8 @@
     void check_attempt(pending_request& request);
     void retry_on_other_target(pending_request& request);
 
+    [[nodiscard]] bool in_other_region(zone_id const& zone) const;
+    bool cross_region_allowed(placement_round const& round);
     [[nodiscard]] bool zone_allowed(route_config const& route, zone_id const& zone) const;
     [[nodiscard]] double cold_rate_share(target_state const& target) const;
     [[nodiscard]] int remote_running(zone_id const& zone, service_id const& service) const;
@@ -150,6 +154,8 @@
     std::map<service_id, moving_mean> preferred_hit_rates_;
     service_times service_times_;
     retry_limiter retry_limiter_;
+    rate_window sent_;              ///< attempts within the window of the shift cap
+    rate_window sent_cross_region_; ///< of these, the ones to targets of other regions
     retry_after_schedule retry_after_;
     std::vector<node_id> hosts_in_zone_; ///< includes this host; empty before the first report
     bool zone_peers_known_ = true;       ///< see peers_reported
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -38,6 +38,29 @@
                route.home_regions.end();
 }
 
+bool traffic::in_other_region(zone_id const& zone) const
+{
+    auto const own = settings_.regions.find(settings_.zone);
+    auto const other = settings_.regions.find(zone);
+    return own == settings_.regions.end() || other == settings_.regions.end() ||
+           own->second != other->second;
+}
+
+/**
+ * Keeps the part of the requests that leaves the region so small that it can come and go without
+ * exceeding the shift cap. The other half of the cap is left to the look-ups.
+ */
+bool traffic::cross_region_allowed(placement_round const& round)
+{
+    constexpr double share_of_cap = 0.5;
+    if (round.local.empty()) {
+        return true; // the zone has lost its targets
+    }
+    auto const sent = static_cast<double>(sent_.count(now_) + 1);
+    return static_cast<double>(sent_cross_region_.count(now_) + 1) <=
+           share_of_cap * settings_.shift_cap * sent;
+}
+
 int traffic::remote_running(zone_id const& zone, service_id const& service) const
 {
     int count = 0;
@@ -250,7 +273,11 @@
         keep_waiting();
         return;
     }
+    bool const may_leave_region = cross_region_allowed(round);
     for (placement_option const& option : remote_options(request, round)) {
+        if (!may_leave_region && in_other_region(option.candidate->target->entry().zone)) {
+            continue;
+        }
         if (option.candidate->target->can_send(0, now_)) {
             send(request, option);
             round.remote_collected = false; // the quota of its zone may be used up
@@ -283,6 +310,10 @@
     request.object_age = option.object_age;
     request.rank = option.rank;
     ++request.attempts;
+    sent_.add(now_);
+    if (in_other_region(entry.zone)) {
+        sent_cross_region_.add(now_);
+    }
     target.attempt_sent(request.id, request.object, option.service_ms, now_);
     option.candidate->load += 1;
     effects_.push_back(
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -57,6 +57,18 @@
     follower subject;
 };
 
+TEST_F(follower_case, waits_for_the_batch_delay_before_the_next_watch)
+{
+    subject.set_batch_delay(milliseconds{400});
+    subject.start(true);
+    subject.set_active(true);
+    reply(follow_status::done, 7);
+    mono_time const listed = read_clocks().mono;
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watches, 1);
+    EXPECT_GE(read_clocks().mono - listed, milliseconds{400});
+}
+
 TEST_F(follower_case, lists_once_and_then_watches_from_the_last_revision)
 {
     subject.set_active(true);
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -3,6 +3,7 @@
 #include "traffic/target_list.h"
 #include "traffic/traffic_fixture.h"
 
+#include <deque>
 #include <gtest/gtest.h>
 
 namespace cove {
@@ -195,6 +196,39 @@
     EXPECT_LE(sent, 4);
 }
 
+TEST(targets, of_other_regions_get_less_of_an_overload_than_the_shift_cap)
+{
+    constexpr double shift_cap = 0.15;
+    traffic_fixture fixture({0.2, milliseconds{10'000}, 50}, node_id("h0"), shift_cap);
+    fixture.entries = {fixture.target("near", "home", 10), fixture.target("far", "away", 500)};
+    fixture.feed(targets_listed{fixture.entries});
+    fixture.report_hosts(1, 2, {{zone_id("away"), fixture.desk, 500}});
+    constexpr milliseconds service_time{50};
+    std::deque<std::pair<mono_time, send_attempt>> running;
+    int sent = 0;
+    int sent_far = 0;
+    auto const record = [&] {
+        for (auto const& attempt : traffic_fixture::of_kind<send_attempt>(fixture.effects)) {
+            running.emplace_back(fixture.now, attempt);
+            ++sent;
+            sent_far += attempt.target == target_id("far") ? 1 : 0;
+        }
+    };
+    for (int i = 0; i < 1000; ++i) { // five times what the near target can serve
+        fixture.now += milliseconds{1};
+        while (!running.empty() && running.front().first + service_time <= fixture.now) {
+            send_attempt const ended = running.front().second;
+            running.pop_front();
+            fixture.end(ended.id, ended.target, attempt_end::succeeded);
+            record();
+        }
+        fixture.arrive("object" + std::to_string(i % 5));
+        record();
+    }
+    EXPECT_GT(sent, 100);
+    EXPECT_LE(sent_far, shift_cap * sent);
+}
+
 TEST(targets, of_other_zones_get_requests_within_the_quota)
 {
     traffic_fixture fixture;
--- a/tests/traffic/traffic_fixture.h
+++ b/tests/traffic/traffic_fixture.h
@@ -11,11 +11,12 @@
 class traffic_fixture {
 public:
     explicit traffic_fixture(retry_limiter_settings retry_limits = {0.2, milliseconds{10'000}, 50},
-                             node_id const& self = node_id("h0"))
+                             node_id const& self = node_id("h0"), double shift_cap = 1)
         : reducer({self,
                    zone_id("home"),
                    {{zone_id("home"), region_id("r")}, {zone_id("away"), region_id("s")}},
-                   retry_limits})
+                   retry_limits,
+                   shift_cap})
     {
         route.name = route_id("route");
         route.idempotent = true;
