Spread the objects of a zone evenly over its targets, and keep them there under overload

In the emulator two causes show: plain hashing gives some targets twice the objects of others, so they forget; and under overload requests move to other targets, which forget objects in turn. Change: hosts announce the objects in use with their reports and derive the same assignment with bounded loads; a move away from an object's target counts two evictions, and none for requests without affinity.

--- a/src/core/hash_func.cpp
+++ b/src/core/hash_func.cpp
@@ -11,6 +11,11 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+std::uint64_t stable_hash(std::uint64_t value, std::uint64_t seed)
+{
+    return XXH64(&value, sizeof value, seed);
+}
+
 std::string content_hash(std::string_view text)
 {
     static constexpr std::string_view digits = "0123456789abcdef";
--- a/src/emulator/zone_emulator.cpp
+++ b/src/emulator/zone_emulator.cpp
@@ -216,6 +216,9 @@
             ++outcome->late;
             outcome->earned += request.type->late_worth;
         }
+        else if (served) {
+            ++outcome->failed; // the client has left
+        }
     }
 }
 
@@ -223,7 +226,9 @@
 {
     std::vector<std::map<std::uint32_t, int>> in_flight;
     std::map<std::uint32_t, int> sum;
+    std::vector<std::vector<service_objects>> objects;
     for (auto const& host : hosts_) {
+        objects.push_back(host->announcements(settings_.report_interval, scheduler_.now()));
         in_flight.push_back(host->in_flight_by_target(scheduler_.now()));
         for (auto const& [target, count] : in_flight.back()) {
             sum[target] += count;
@@ -242,6 +247,12 @@
                 peers.in_flight_by_target[target] = others;
             }
         }
+        for (std::size_t other = 0; other < hosts_.size(); ++other) {
+            if (other != host) {
+                peers.objects.insert(peers.objects.end(), objects[other].begin(),
+                                     objects[other].end());
+            }
+        }
         feed(host, peers);
     }
 }
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -379,6 +379,7 @@
     for (auto const& [target, in_flight] : forwarder_.in_flight_by_target()) {
         own.targets_in_flight.push_back({target, in_flight});
     }
+    own.new_objects = forwarder_.announcements(view_.zone_round());
     return own;
 }
 
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -84,6 +84,8 @@
             for (target_in_flight const& entry : host->targets_in_flight) {
                 peers.in_flight_by_target[entry.target] += entry.in_flight;
             }
+            peers.objects.insert(peers.objects.end(), host->new_objects.begin(),
+                                 host->new_objects.end());
         }
     }
     forwarder_.set_peers(peers);
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -337,6 +337,11 @@
     return traffic_.loads(read_clocks().mono);
 }
 
+std::vector<service_objects> request_forwarder::announcements(milliseconds window) const
+{
+    return traffic_.announcements(window, read_clocks().mono);
+}
+
 std::map<std::uint32_t, int> request_forwarder::in_flight_by_target() const
 {
     return traffic_.in_flight_by_target(read_clocks().mono);
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -49,6 +49,7 @@
 
     [[nodiscard]] std::vector<service_load_report> loads() const;
     [[nodiscard]] std::map<std::uint32_t, int> in_flight_by_target() const;
+    [[nodiscard]] std::vector<service_objects> announcements(milliseconds window) const;
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] route_table const* routes() const { return routes_.get(); }
     [[nodiscard]] latency_metrics const& metrics() const { return metrics_; }
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -45,6 +45,7 @@
     std::vector<service_load_report> loads;
     bool store_lost = false;
     std::vector<target_in_flight> targets_in_flight;
+    std::vector<service_objects> new_objects;
 };
 
 /**
@@ -111,6 +112,12 @@
     /** @return the IPs of the other live hosts of this zone. */
     [[nodiscard]] std::vector<std::string> zone_peer_ips(mono_time now) const;
 
+    /** @return the time in which each zone peer gets at least one report of this host. */
+    [[nodiscard]] milliseconds zone_round() const
+    {
+        return tick_interval * (ticks_per_zone_round() + 1);
+    }
+
     /// Period of tick(); also the interval of the reports in a small zone.
     static constexpr milliseconds tick_interval{250};
 
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -64,6 +64,11 @@
         out.add_busy_targets(entry.target);
         out.add_running(static_cast<std::uint32_t>(entry.in_flight));
     }
+    for (service_objects const& seen : report.new_objects) {
+        auto* const item = out.add_new_objects();
+        item->set_service(seen.service.value);
+        item->mutable_objects()->Add(seen.objects.begin(), seen.objects.end());
+    }
 }
 
 host_report read(wire::HostReport const& in)
@@ -83,6 +88,10 @@
     for (int i = 0; i < std::min(in.busy_targets_size(), in.running_size()); ++i) {
         report.targets_in_flight.push_back({in.busy_targets(i), static_cast<int>(in.running(i))});
     }
+    for (wire::ServiceObjects const& item : in.new_objects()) {
+        report.new_objects.push_back(
+            {service_id(item.service()), {item.objects().begin(), item.objects().end()}});
+    }
     return report;
 }
 
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -36,6 +36,7 @@
     std::vector<service_load_report> loads;
     bool store_lost = false; ///< calls of this host to the platform's store fail
     std::vector<target_in_flight> targets_in_flight;
+    std::vector<service_objects> new_objects; ///< first seen since the last round of reports
 };
 
 /** A host that accepts client requests. */
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -1,8 +1,10 @@
 #include "traffic/placement.h"
 
 #include "core/hash_func.h"
+#include "traffic/object_balance.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cove {
 
@@ -10,6 +12,9 @@
 
 constexpr double rank_penalty_ms = 4; ///< per rank; orders otherwise equal targets by rank
 constexpr double failure_penalty = 2; ///< cost of a failed attempt, in multiples of the objective
+/// A target that handles an object of another target forgets one of its own, whose next request
+/// then does the same elsewhere. With a single eviction counted, overloaded zones stayed cold.
+constexpr double evictions_per_move = 2;
 constexpr double silent_penalty_ms = 2000; ///< so high that a silent target gets only trials
 
 /**
@@ -48,13 +53,22 @@
     return out;
 }
 
+std::uint32_t short_hash(object_key const& object)
+{
+    return static_cast<std::uint32_t>(stable_hash(object.value));
+}
+
 std::vector<std::size_t> object_order(object_key const& object,
-                                      std::vector<target_state*> const& targets)
+                                      std::vector<target_state*> const& targets,
+                                      std::optional<std::uint64_t> preferred)
 {
+    std::uint32_t const hash = short_hash(object);
     std::vector<std::pair<std::uint64_t, std::size_t>> order;
     order.reserve(targets.size());
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        order.emplace_back(stable_hash(object.value, targets[i]->id_hash()), i);
+        std::uint64_t const id = targets[i]->id_hash();
+        std::uint64_t const score = rendezvous_score(hash, id);
+        order.emplace_back(preferred == id ? std::numeric_limits<std::uint64_t>::max() : score, i);
     }
     std::sort(order.rbegin(), order.rend());
     std::vector<std::size_t> ranks(targets.size());
@@ -86,8 +100,10 @@
         // The preferred target counts as warm here. With the learned hit rate, which falls under
         // overload, it would lose its advantage and objects would spread over more targets.
         double const warm_probability = has_affinity && option.rank == 0 ? 1 : warm;
-        double const eviction_ms =
-            (1 - warm_probability) * std::max(0.0, times.expected(0) - times.expected(1));
+        double const eviction_ms = has_affinity
+                                       ? (1 - warm_probability) * evictions_per_move *
+                                             std::max(0.0, times.expected(0) - times.expected(1))
+                                       : 0;
         double const slot_ms =
             (times.expected(warm_probability) + eviction_ms) * candidate.slowness +
             candidate.rtt_ms;
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -45,12 +45,17 @@
     std::size_t rank = 0; ///< of the target in object_order()
 };
 
+/** @return a short hash of @p object that is the same on every host. */
+std::uint32_t short_hash(object_key const& object);
+
 /**
+ * @param preferred id hash of the target to rank first, if that is not the first by hashing.
  * @return the rank of each target for @p object by rendezvous hashing, the same on every host. The
  * target of rank 0 is the preferred target of the object.
  */
 std::vector<std::size_t> object_order(object_key const& object,
-                                      std::vector<target_state*> const& targets);
+                                      std::vector<target_state*> const& targets,
+                                      std::optional<std::uint64_t> preferred = std::nullopt);
 
 /**
  * Orders the candidates by cost. The cost grows with the rank, so an object stays on few targets
--- a/src/traffic/target_type.h
+++ b/src/traffic/target_type.h
@@ -5,6 +5,7 @@
 #include "core/time_type.h"
 
 #include <string>
+#include <vector>
 
 namespace cove {
 
@@ -41,6 +42,12 @@
     int waiting = 0;   ///< requests queued in this host
 };
 
+/** Objects of a service, by short hashes of their keys. */
+struct service_objects {
+    service_id service;
+    std::vector<std::uint32_t> objects;
+};
+
 /** Load that a target reports with an answer. */
 struct target_load {
     int running = 0;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -50,6 +50,9 @@
         request.elapsed_before = now_ - *first_arrived;
     }
     retry_limiter_.add_request(event.service, now_);
+    if (event.route->sticky && !event.object.value.empty()) {
+        object_balances_[event.service].use(short_hash(event.object), now_);
+    }
     auto const added = requests_.emplace(event.id, std::move(request)).first;
     queues_[event.service].push_back(event.id);
     placement_round round = begin_round(event.service, &added->second);
@@ -187,6 +190,10 @@
     bool index_outdated = false;
     for (target_entry const& entry : event.updated) {
         index_outdated = put_target(entry) || index_outdated;
+        if (auto const found = object_balances_.find(entry.service);
+            found != object_balances_.end()) {
+            found->second.targets_changed();
+        }
     }
     for (target_id const& id : event.removed) {
         index_outdated = targets_.erase(id) > 0 || index_outdated;
@@ -225,6 +232,38 @@
     for (auto& [id, request] : requests_) {
         request.queued_for = nullptr; // may have been removed
     }
+    for (auto& [service, balance] : object_balances_) {
+        balance.targets_changed();
+    }
+}
+
+/** Spreads the objects of each service over the targets of this zone, if they have changed. */
+void traffic::balance_objects()
+{
+    for (auto& [service, balance] : object_balances_) {
+        if (!balance.assignment_due(now_)) {
+            continue;
+        }
+        std::vector<balance_target> targets;
+        for (target_state const* const target : targets_by_service_[service].local) {
+            if (target->entry().phase == target_phase::serving) {
+                targets.push_back({target->id_hash(), std::max(1, target->entry().slots)});
+            }
+        }
+        balance.assign(targets, now_);
+        ++list_version_;
+    }
+}
+
+std::vector<service_objects> traffic::announcements(milliseconds window, mono_time now) const
+{
+    std::vector<service_objects> out;
+    for (auto const& [service, balance] : object_balances_) {
+        if (auto objects = balance.announcements(window, now); !objects.empty()) {
+            out.push_back({service, std::move(objects)});
+        }
+    }
+    return out;
 }
 
 void traffic::dispatch_all_queues()
@@ -269,6 +308,10 @@
             set_running(hash, 0);
         }
     }
+    for (service_objects const& announced : event.objects) {
+        object_balances_[announced.service].merge(announced.objects, now_);
+    }
+    balance_objects();
     used_by_peers_.clear();
     for (auto const& [hash, count] : event.in_flight_by_target) {
         set_running(hash, count);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -1,6 +1,7 @@
 #pragma once
 /** @file State machine that dispatches the requests of an entry host to targets. */
 
+#include "traffic/object_balance.h"
 #include "traffic/placement.h"
 #include "traffic/refused_requests.h"
 #include "traffic/retry_after.h"
@@ -89,6 +90,10 @@
     /** @return the requests of this host at each target, by short hash; without zero counts. */
     [[nodiscard]] std::map<std::uint32_t, int> in_flight_by_target(mono_time now) const;
 
+    /** @return objects that this host has first seen within @p window, for the other hosts. */
+    [[nodiscard]] std::vector<service_objects> announcements(milliseconds window,
+                                                             mono_time now) const;
+
     /** @return number of requests that are queued or in progress. */
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
 
@@ -106,6 +111,7 @@
     bool put_target(target_entry const& entry);
     void index_targets();
     void dispatch_all_queues();
+    void balance_objects();
     void record_outcome(pending_request const& request, attempt_ended const& event);
     void after_failure(pending_request& request, attempt_ended const& event);
     bool retry(pending_request& request);
@@ -153,6 +159,7 @@
     std::map<service_id, warm_window> warm_windows_;
     std::map<service_id, moving_mean> preferred_hit_rates_;
     service_times service_times_;
+    std::map<service_id, object_balance> object_balances_;
     retry_limiter retry_limiter_;
     rate_window sent_;              ///< attempts within the window of the shift cap
     rate_window sent_cross_region_; ///< of these, the ones to targets of other regions
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -86,6 +86,8 @@
     std::vector<remote_quota> remote_quotas;
     /// Requests of the other hosts of the zone, by short target hash.
     std::map<std::uint32_t, int> in_flight_by_target;
+    /// Objects that the other hosts of the zone have announced.
+    std::vector<service_objects> objects;
 };
 
 /** Periodic tick: re-examines queued and running requests. */
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -202,8 +202,9 @@
     std::vector<std::size_t> ranks;
     if (has_affinity) {
         if (request.order_version != list_version_) {
-            request.order =
-                object_order(request.object, targets_by_service_[request.service].local);
+            request.order = object_order(
+                request.object, targets_by_service_[request.service].local,
+                object_balances_[request.service].moved_to(short_hash(request.object)));
             request.order_version = list_version_;
         }
         for (std::size_t const index : round.local_index) {
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -265,6 +265,7 @@
     entry.incarnation = target_incarnation(1234567890123);
 
     full.targets_in_flight = {{77, 2}, {78, 1}};
+    full.new_objects = {{service_id("desk"), {5, 4'000'000'000}}};
     zone_status status;
     status.zone = zone_id("b");
     status.speaker = node_id("b1");
@@ -284,6 +285,9 @@
     ASSERT_EQ(back.targets_in_flight.size(), 2U);
     EXPECT_EQ(back.targets_in_flight.at(0).target, 77U);
     EXPECT_EQ(back.targets_in_flight.at(0).in_flight, 2);
+    ASSERT_EQ(back.new_objects.size(), 1U);
+    EXPECT_EQ(back.new_objects[0].service, service_id("desk"));
+    EXPECT_EQ(back.new_objects[0].objects, (std::vector<std::uint32_t>{5, 4'000'000'000}));
     auto const& zone = std::get<gossip>(*received).zones.at(0);
     EXPECT_EQ(zone.sequence, 12U);
     EXPECT_EQ(zone.versions.targets, revision(10));
--- a/tests/traffic/attempt_test.cpp
+++ b/tests/traffic/attempt_test.cpp
@@ -140,7 +140,7 @@
     auto const first = fixture.arrive("object");
     auto const at = fixture.single<send_attempt>()->target;
     fixture.route.idempotent = false;
-    fixture.arrive("other"); // takes the only slot of the other target
+    fixture.arrive("another"); // takes the only slot of the other target
     ASSERT_TRUE(fixture.single<send_attempt>());
     auto const busy = fixture.single<send_attempt>()->target;
     fixture.advance(milliseconds{900});
