Treat a list or watch body of another form as a failed call

Change: bodies are decoded in one place; a body of another form is a failed call that is made again, a malformed event is left out and reported. Tests: read_object_page, read_object_events (the old code had no such function; it threw).

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -87,6 +87,46 @@
     EXPECT_FALSE(read_named_object(json{{"metadata", json::object()}}));
 }
 
+TEST(read_object_page, ends_with_the_last_name_of_a_page_that_has_more)
+{
+    json const first{{"metadata", {{"name", "a"}}}};
+    auto const page = read_object_page(json{{"items", {first, "unreadable"}}, {"has_more", true}});
+    ASSERT_TRUE(page);
+    EXPECT_EQ(page->items.size(), 2U);
+    EXPECT_EQ(page->next_after, "a");
+    EXPECT_TRUE(read_object_page(json{{"items", {first}}})->next_after.empty());
+}
+
+TEST(read_object_page, rejects_bodies_of_another_form)
+{
+    for (json const& body :
+         {json("text"), json{{"items", "a"}}, json{{"items", json::array()}, {"has_more", "yes"}},
+          json{{"items", {"unreadable"}}, {"has_more", true}}}) {
+        EXPECT_FALSE(read_object_page(body)) << body;
+    }
+}
+
+TEST(read_object_events, reads_events_and_leaves_out_what_is_none)
+{
+    json const object{{"metadata", {{"name", "a"}}}};
+    auto const events = read_object_events(
+        json{{"events", {{{"object", object}, {"deleted", true}}, "unreadable"}}});
+    ASSERT_TRUE(events);
+    ASSERT_EQ(events->size(), 2U);
+    EXPECT_TRUE((*events)[0].deleted);
+    EXPECT_EQ((*events)[0].object, object);
+    EXPECT_TRUE((*events)[1].object.is_null());
+    EXPECT_TRUE(read_object_events(json::object())->empty());
+}
+
+TEST(read_object_events, rejects_bodies_of_another_form)
+{
+    for (json const& body :
+         {json("text"), json{{"events", 7}}, json{{"events", {{{"deleted", "yes"}}}}}}) {
+        EXPECT_FALSE(read_object_events(body)) << body;
+    }
+}
+
 json route_resource(std::string const& name, json const& spec)
 {
     json base{{"host", "desk.example"}, {"path_prefix", "/" + name + "/"}, {"kind", "idempotent"},
