Call the store less after restarts and in outages

Change: a restarted host replaces its record first; its first list of targets may be stale (peers tell it what changed; a list that a watch continues from is current); a failed list is not repeated once peers have delivered. Tests: accepts_stale_objects_only_in_the_first_list_of_a_host_that_does_not_watch, stops_calling_a_lost_store_once_peers_have_delivered_the_objects (both failed to compile before: the calls did not exist).

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -23,20 +23,37 @@
     timers_.cancel(next_call_);
 }
 
-void follower::start(bool list_now)
+void follower::start(bool list_now, read_freshness first_list)
 {
+    next_list_ = active_ ? read_freshness::current : first_list;
     list_deferred_ = !list_now;
     if (list_now) {
         call_store();
     }
 }
 
+void follower::delivered_by_peers()
+{
+    if (listed_ || active_ || list_deferred_ || reachable_) {
+        return;
+    }
+    timers_.cancel(next_call_);
+    if (call_pending_) {
+        calls_.abort();
+        call_pending_ = false;
+    }
+    list_deferred_ = true;
+}
+
 void follower::set_active(bool active)
 {
     if (active == active_) {
         return;
     }
     active_ = active;
+    if (active) {
+        next_list_ = read_freshness::current;
+    }
     if (!listed_) {
         if (active && list_deferred_) {
             list_deferred_ = false;
@@ -65,7 +82,7 @@
         calls_.watch(at_, done);
     }
     else {
-        calls_.list(done);
+        calls_.list(next_list_, done);
     }
 }
 
@@ -77,6 +94,7 @@
         set_reachable(true, "");
         at_ = std::max(at_, answer.at);
         listed_ = true;
+        next_list_ = read_freshness::current;
         if (active_) {
             schedule_call(batch_delay_);
         }
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -18,6 +18,9 @@
     failed,          ///< error response or no response
 };
 
+/** Whether the store may answer with data that is seconds old; such calls cost a tenth. */
+enum class read_freshness { current, may_be_stale };
+
 /** The outcome of a call and the revision to continue from. */
 struct follow_result {
     follow_status status = follow_status::failed;
@@ -28,7 +31,7 @@
 /** The calls that a follower makes; each delivers its objects or changes before it calls done. */
 struct follow_calls {
     using done = std::function<void(follow_result)>;
-    std::function<void(done)> list;
+    std::function<void(read_freshness, done)> list;
     std::function<void(revision, done)> watch;
     std::function<void()> abort; ///< cancels the pending call; its done is not called
     std::function<void(bool up, std::string const& detail)> reachable; ///< on each change
@@ -48,8 +51,17 @@
      * @param list_now whether to list at once even if inactive, for a host that starts while there
      * is traffic and must not wait for its peers. Otherwise the list call waits for
      * set_active(true).
+     * @param first_list freshness of the first list if the host does not watch. Peers tell it what
+     * has changed since. Lists that a watch continues from are current.
+     */
+    void start(bool list_now, read_freshness first_list = read_freshness::current);
+
+    /**
+     * Tells that peers have delivered the objects. While inactive, a list call that has failed is
+     * then not repeated before set_active(true), so that an outage of the store causes no storm of
+     * calls from restarted hosts.
      */
-    void start(bool list_now);
+    void delivered_by_peers();
 
     /** Starts or stops watching. While inactive, changes come from peers instead. */
     void set_active(bool active);
@@ -78,6 +90,7 @@
     revision at_;
     bool active_ = false;
     bool listed_ = false;
+    read_freshness next_list_ = read_freshness::current;
     bool list_deferred_ = false; ///< the first list call waits for set_active(true)
     bool reachable_ = true;
     bool call_pending_ = false;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -204,7 +204,7 @@
     // control traffic of a day.
     bool const list_now = !settings_.first_start;
     config_follower_.start(list_now);
-    target_follower_.start(list_now);
+    target_follower_.start(list_now, read_freshness::may_be_stale);
     evacuation_follower_.start(list_now);
     register_self(0);
     report_peers(read_clocks().mono);
@@ -219,6 +219,11 @@
     if (now < started_ + follow_decision_delay) {
         return;
     }
+    if (ready()) {
+        config_follower_.delivered_by_peers();
+        target_follower_.delivered_by_peers();
+        evacuation_follower_.delivered_by_peers();
+    }
     follows_store_ = view_.follows_store(followers_per_zone, now);
     bool const leads = view_.follows_store(1, now);
     target_follower_.set_batch_delay(
@@ -231,7 +236,7 @@
 void entry_host::register_self(int failures)
 {
     host_record const self{node_id(settings_.name), zone_id(settings_.zone), settings_.ip};
-    store_.register_host(self, [this, failures](bool done) {
+    store_.register_host(self, !settings_.first_start, [this, failures](bool done) {
         if (done) {
             timers_.once(started_ + host_list_delay, [this] { list_hosts(0); });
             return;
--- a/src/host/store_calls.h
+++ b/src/host/store_calls.h
@@ -47,7 +47,8 @@
     follow_calls config;
     follow_calls targets;
     follow_calls evacuations;
-    std::function<void(host_record const&, std::function<void(bool)>)> register_host;
+    /// The flag tells whether the host is probably registered already, from before a restart.
+    std::function<void(host_record const&, bool, std::function<void(bool)>)> register_host;
     std::function<void(std::function<void(bool)>)> list_hosts;
     std::function<result<config_document>(std::string const& text)> read_config;
 };
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -15,8 +15,9 @@
     follow_calls calls()
     {
         follow_calls out;
-        out.list = [this](follow_calls::done done) {
+        out.list = [this](read_freshness freshness, follow_calls::done done) {
             ++lists;
+            list_freshness = freshness;
             answer = std::move(done);
         };
         out.watch = [this](revision from, follow_calls::done done) {
@@ -54,6 +55,7 @@
     int lost = 0;
     int regained = 0;
     revision watch_start;
+    read_freshness list_freshness = read_freshness::current;
     follower subject;
 };
 
@@ -121,6 +123,27 @@
     EXPECT_EQ(watches, 2);
 }
 
+TEST_F(follower_case, accepts_stale_objects_only_in_the_first_list_of_a_host_that_does_not_watch)
+{
+    subject.start(true, read_freshness::may_be_stale);
+    EXPECT_EQ(list_freshness, read_freshness::may_be_stale);
+    reply(follow_status::done, 40);
+    subject.set_active(true);
+    reply(follow_status::history_expired);
+    EXPECT_EQ(lists, 2);
+    EXPECT_EQ(list_freshness, read_freshness::current);
+}
+
+TEST_F(follower_case, stops_calling_a_lost_store_once_peers_have_delivered_the_objects)
+{
+    subject.start(true);
+    reply(follow_status::failed);
+    subject.delivered_by_peers();
+    EXPECT_FALSE(calls_again());
+    subject.set_active(true);
+    EXPECT_EQ(lists, 2);
+}
+
 TEST_F(follower_case, defers_the_list_until_it_is_active)
 {
     subject.start(false);
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -125,12 +125,12 @@
     static store_calls silent_store()
     {
         follow_calls calls;
-        calls.list = [](follow_calls::done const&) {};
+        calls.list = [](read_freshness, follow_calls::done const&) {};
         calls.watch = [](revision, follow_calls::done const&) {};
         calls.abort = [] {};
         store_calls port;
         port.config = port.targets = port.evacuations = calls;
-        port.register_host = [](host_record const&, std::function<void(bool)> const&) {};
+        port.register_host = [](host_record const&, bool, std::function<void(bool)> const&) {};
         port.list_hosts = [](std::function<void(bool)> const&) {};
         return port;
     }
