--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -86,8 +86,8 @@
     EXPECT_GT(warm_share(zone_emulator(zone(420, 2.4)).run()), 0.85);
 }
 
-// With plain hashing, half of the targets would get more objects than they keep warm, and forget one
-// for each that they are given.
+// With plain hashing, half of the targets would get more objects than they keep warm, and forget
+// one for each that they are given.
 TEST(zone_emulator, warms_each_object_less_than_twice_if_the_targets_have_room_for_all)
 {
     constexpr int objects = 700; // there is room for 768
