Test changes of single targets and the version of the serving hosts

Both stand for what the tick of a host now relies on: a reducer that is told of changes decides as one that gets the whole list, and the list of serving hosts has a new version only after a change. The comment of follower::start says what follows a stale list. No behaviour changed.

--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -109,6 +109,21 @@
     }
 }
 
+TEST(host_view, keeps_the_version_of_the_serving_hosts_until_they_change)
+{
+    fleet all = three_zones();
+    all.advance(milliseconds{6000});
+    host_view& view = all.hosts.at("ip-a2");
+    auto const before = view.serving_version(all.now);
+    all.advance(milliseconds{4000});
+    EXPECT_EQ(view.serving_version(all.now), before);
+    local_host_state stopping = ready();
+    stopping.leaving = true;
+    all.deliver("ip-b1", all.hosts.at("ip-b1").announce_leaving(stopping, all.now));
+    EXPECT_NE(view.serving_version(all.now), before);
+    EXPECT_FALSE(all.serving_seen_by("a2").contains("b1"));
+}
+
 TEST(host_view, drops_a_dead_host_everywhere_within_seconds)
 {
     fleet all = three_zones();
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace cove {
 namespace {
@@ -181,6 +182,44 @@
     EXPECT_FALSE(fixture.single<send_attempt>()); // all slots are taken
 }
 
+// Changes of single targets must leave a host as a list of all targets does.
+RC_GTEST_PROP(targets, that_change_one_by_one_are_used_as_if_listed_anew, ())
+{
+    traffic_fixture listed;
+    traffic_fixture changed;
+    listed.list(6);
+    changed.list(6);
+    int const steps = *rc::gen::inRange(1, 12);
+    for (int step = 0; step < steps; ++step) {
+        auto const position = static_cast<std::size_t>(*rc::gen::inRange(0, 6));
+        target_id const id("t" + std::to_string(position));
+        auto const known = std::find_if(listed.entries.begin(), listed.entries.end(),
+                                        [&](target_entry const& each) { return each.id == id; });
+        if (known == listed.entries.end()) {
+            listed.entries.push_back(listed.target(id.value, "home", 2));
+            changed.feed(targets_changed{{listed.entries.back()}, {}});
+        }
+        else if (*rc::gen::arbitrary<bool>()) {
+            known->phase = target_phase::leaving;
+            changed.feed(targets_changed{{*known}, {}});
+        }
+        else {
+            listed.entries.erase(known);
+            changed.feed(targets_changed{{}, {id}});
+        }
+        listed.feed(targets_listed{listed.entries});
+    }
+    for (int i = 0; i < 8; ++i) {
+        std::string const object = "object" + std::to_string(i);
+        listed.arrive(object);
+        changed.arrive(object);
+        auto const expected = listed.single<send_attempt>();
+        auto const actual = changed.single<send_attempt>();
+        RC_ASSERT(expected.has_value() == actual.has_value());
+        RC_ASSERT(!expected || expected->target == actual->target);
+    }
+}
+
 TEST(targets, that_refused_connections_count_as_cold_afterwards)
 {
     traffic_fixture fixture;
