--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -51,8 +51,9 @@
      * @param list_now whether to list at once even if inactive, for a host that starts while there
      * is traffic and must not wait for its peers. Otherwise the list call waits for
      * set_active(true).
-     * @param first_list freshness of the first list if the host does not watch yet. What has changed
-     * since comes from its peers, or from the watch that continues at the revision of the list.
+     * @param first_list freshness of the first list if the host does not watch yet. What has
+     * changed since comes from its peers, or from the watch that continues at the revision of the
+     * list.
      */
     void start(bool list_now, read_freshness first_list = read_freshness::current);
 
