Split the assignment of objects into short functions, and name limits after what they limit

Read as a newcomer would: object_balance::assign did four things in sixty lines; the emulator's effects carried a host that none of them used; eight comments of constants went on from their names. No behaviour changed: traffic and emulator tests pass unchanged.

--- a/src/deploy/cove_chaos.cpp
+++ b/src/deploy/cove_chaos.cpp
@@ -16,7 +16,7 @@
 using cove::seconds;
 
 constexpr int base_port = 23200;
-constexpr int target_percent = 50;      ///< of the targets, to run fewer than 60 processes
+constexpr int target_percent = 50;      ///< share that is started, to run fewer than 60 processes
 constexpr seconds load_end_timeout{40}; ///< a load run must end within this time of its faults
 constexpr seconds settle_time{3};       ///< between the faults and the planned stops
 constexpr char const* faults_load = "faults";
--- a/src/emulator/zone_emulator.cpp
+++ b/src/emulator/zone_emulator.cpp
@@ -4,10 +4,11 @@
 
 namespace {
 
-constexpr milliseconds tick_interval{20};      ///< of the reducer, as in an entry host
-constexpr microseconds network_delay{300};     ///< one way, between a host and a target
-constexpr milliseconds client_delay{8};        ///< one way, between a client and a host
-constexpr double max_comeback_share = 1.0 / 3; ///< of its time that a client waits for a retry
+constexpr milliseconds tick_interval{20};  ///< between two timer ticks of a reducer
+constexpr microseconds network_delay{300}; ///< one way, between a host and a target
+constexpr milliseconds client_delay{8};    ///< one way, between a client and a host
+constexpr double max_comeback_share =
+    1.0 / 3; ///< longest Retry-After, per time that the client has left
 constexpr int clients = 200;
 constexpr retry_limiter_settings retry_limits{0.2, milliseconds{10'000}, 50};
 
@@ -150,11 +151,11 @@
 void zone_emulator::feed(std::size_t host, traffic_event const& event)
 {
     for (traffic_effect const& effect : hosts_[host]->reduce(event, scheduler_.now())) {
-        std::visit([this, host](auto const& what) { execute(host, what); }, effect);
+        std::visit([this](auto const& what) { execute(what); }, effect);
     }
 }
 
-void zone_emulator::execute(std::size_t /*host*/, send_attempt const& effect)
+void zone_emulator::execute(send_attempt const& effect)
 {
     client_request const& request = requests_.at(effect.id);
     emulated_work const work{effect.id, request.object, request.type->work,
@@ -163,20 +164,20 @@
                      [this, target = effect.target, work] { targets_.at(target).accept(work); });
 }
 
-void zone_emulator::execute(std::size_t /*host*/, cancel_attempt const& effect)
+void zone_emulator::execute(cancel_attempt const& effect)
 {
     for (auto& [id, target] : targets_) {
         target.cancel(effect.id);
     }
 }
 
-void zone_emulator::execute(std::size_t /*host*/, deliver_answer const& effect)
+void zone_emulator::execute(deliver_answer const& effect)
 {
     auto const request = requests_.extract(effect.id);
     finish(request.mapped(), true);
 }
 
-void zone_emulator::execute(std::size_t /*host*/, answer_locally const& effect)
+void zone_emulator::execute(answer_locally const& effect)
 {
     client_request request = std::move(requests_.extract(effect.id).mapped());
     bool const not_run = effect.reason == refusal::no_room || effect.reason == refusal::no_target;
--- a/src/emulator/zone_emulator.h
+++ b/src/emulator/zone_emulator.h
@@ -88,10 +88,10 @@
     void schedule_arrivals(emulated_class const& type);
     void ask(client_request request);
     void feed(std::size_t host, traffic_event const& event);
-    void execute(std::size_t host, send_attempt const& effect);
-    void execute(std::size_t host, cancel_attempt const& effect);
-    void execute(std::size_t host, deliver_answer const& effect);
-    void execute(std::size_t host, answer_locally const& effect);
+    void execute(send_attempt const& effect);
+    void execute(cancel_attempt const& effect);
+    void execute(deliver_answer const& effect);
+    void execute(answer_locally const& effect);
     void report_in_flight();
     void every(milliseconds interval, std::function<void()> const& fn);
     void finish(client_request const& request, bool served);
--- a/src/soak/fake_callers.cpp
+++ b/src/soak/fake_callers.cpp
@@ -13,8 +13,9 @@
 constexpr milliseconds min_timeout{200};    ///< shortest timeout of a request
 constexpr milliseconds max_timeout{1200};   ///< longest timeout of a request
 constexpr milliseconds answer_grace{300};   ///< after the timeout, until a caller gives up
-constexpr milliseconds max_duplicate_delay{60}; ///< until a duplicate follows the first request
-constexpr seconds max_repeat_delay{60};         ///< until a request is repeated after its answer
+constexpr milliseconds max_duplicate_delay{
+    60};                                ///< longest delay of a duplicate after the first request
+constexpr seconds max_repeat_delay{60}; ///< longest delay of a repeat after the answer
 constexpr int max_requests_per_operation = 5;
 
 } // namespace
--- a/src/soak/fault_schedule.cpp
+++ b/src/soak/fault_schedule.cpp
@@ -10,7 +10,7 @@
 constexpr seconds max_downtime{6};         ///< longest downtime or degradation
 constexpr milliseconds min_freeze_time{50};
 constexpr seconds max_freeze_time{8};
-constexpr seconds leaving_time{10}; ///< until a leaving target is live again
+constexpr seconds leaving_time{10}; ///< for which a target stays leaving
 constexpr seconds max_cut_time{8};  ///< longest cut or platform outage
 
 } // namespace
--- a/src/steering/overflow.cpp
+++ b/src/steering/overflow.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t max_zones_per_round = 2; ///< zones that one round requests capacity from
 constexpr int max_units_per_request = 64;      ///< units requested from one zone at once
 constexpr milliseconds request_timeout{400};   ///< an unanswered request then counts as lost
-constexpr milliseconds refusal_backoff{1000};  ///< before a zone that refused is asked again
+constexpr milliseconds refusal_backoff{1000};  ///< pause for a zone that refused
 constexpr milliseconds renewal_window{1200};   ///< a used grant is renewed this long before expiry
 constexpr milliseconds return_unused_after{1000}; ///< counts from the last capacity request
 
--- a/src/traffic/object_balance.cpp
+++ b/src/traffic/object_balance.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace cove {
 
@@ -20,6 +19,47 @@
 /// With more objects for each target, plain hashing spreads them evenly enough.
 constexpr std::size_t max_objects_per_target = 64;
 
+/** @return how many of @p objects each target may get, in proportion to its slots. */
+std::vector<int> bounds_of(std::vector<balance_target> const& targets, std::size_t objects)
+{
+    double slots = 0;
+    for (balance_target const& target : targets) {
+        slots += target.slots;
+    }
+    std::vector<int> out;
+    for (balance_target const& target : targets) {
+        double const share = static_cast<double>(objects) * target.slots / slots;
+        out.push_back(static_cast<int>(std::ceil(bound_factor * share)));
+    }
+    return out;
+}
+
+/** Positions of targets in the list of all. */
+struct target_choice {
+    std::size_t first = 0;                ///< first in the rendezvous order of the object
+    std::optional<std::size_t> with_room; ///< first of those that may get one more object
+};
+
+target_choice choose_target(std::uint32_t object, std::vector<balance_target> const& targets,
+                            std::vector<int> const& room)
+{
+    target_choice out;
+    std::uint64_t first_score = 0;
+    std::uint64_t score_with_room = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        std::uint64_t const score = rendezvous_score(object, targets[i].id_hash);
+        if (score >= first_score) {
+            out.first = i;
+            first_score = score;
+        }
+        if (room[i] > 0 && score >= score_with_room) {
+            out.with_room = i;
+            score_with_room = score;
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 std::uint64_t rendezvous_score(std::uint32_t object, std::uint64_t target_id_hash)
@@ -78,41 +118,20 @@
     if (objects_.empty() || objects_.size() > max_objects_per_target * targets.size()) {
         return;
     }
-    double const slots =
-        std::accumulate(targets.begin(), targets.end(), 0.0,
-                        [](double sum, balance_target const& each) { return sum + each.slots; });
-    std::vector<int> room;
-    for (balance_target const& target : targets) {
-        double const share = static_cast<double>(objects_.size()) * target.slots / slots;
-        room.push_back(static_cast<int>(std::ceil(bound_factor * share)));
-    }
     std::vector<std::uint32_t> objects; // in the same order on all hosts
     for (auto const& [object, announced] : objects_) {
         objects.push_back(object);
     }
     std::sort(objects.begin(), objects.end());
+    std::vector<int> room = bounds_of(targets, objects.size());
     for (std::uint32_t const object : objects) {
-        std::size_t first = 0;
-        std::uint64_t first_score = 0;
-        std::size_t chosen = targets.size();
-        std::uint64_t chosen_score = 0;
-        for (std::size_t i = 0; i < targets.size(); ++i) {
-            std::uint64_t const score = rendezvous_score(object, targets[i].id_hash);
-            if (score >= first_score) {
-                first = i;
-                first_score = score;
-            }
-            if (room[i] > 0 && score >= chosen_score) {
-                chosen = i;
-                chosen_score = score;
-            }
-        }
-        if (chosen == targets.size()) {
+        target_choice const choice = choose_target(object, targets, room);
+        if (!choice.with_room) {
             continue;
         }
-        --room[chosen];
-        if (chosen != first) {
-            moved_[object] = targets[chosen].id_hash;
+        --room[*choice.with_room];
+        if (*choice.with_room != choice.first) {
+            moved_[object] = targets[*choice.with_room].id_hash;
         }
     }
 }
--- a/src/traffic/service_time.cpp
+++ b/src/traffic/service_time.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr double sample_weight = 0.05;     ///< averages over about the last 40 requests
-constexpr double initial_warm_share = 0.5; ///< of the objective; the warm time before any answer
+constexpr double initial_warm_share = 0.5; ///< initial warm time, as a share of the objective
 
 } // namespace
 
