Count the bytes sent to peers and log where a configuration came from

The logs of the late configuration did not say what a host sent for eight seconds, nor whether it got its configuration from the store or from a peer. Both are added, and the test fixture of a host moves to tests/support so that a test can run a whole zone of hosts.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -117,7 +117,7 @@
     store_hooks out;
     out.config = [this](config_document document) {
         bool const newer = !config_ || document.config.version > config_->config.version;
-        on_config(std::move(document));
+        on_config(std::move(document), "store");
         if (newer) {
             push_to_zone(host_snapshot{config_->text, {}, {}});
         }
@@ -336,7 +336,7 @@
     });
 }
 
-void entry_host::on_config(config_document document)
+void entry_host::on_config(config_document document, std::string const& source)
 {
     if (config_ && document.config.version <= config_->config.version) {
         return;
@@ -352,7 +352,8 @@
     forwarder_.set_config(config);
     log_.event("config_in_force",
                {{"version", std::to_string(config.version.value)},
-                {"routes", std::to_string(config.routes.size())}},
+                {"routes", std::to_string(config.routes.size())},
+                {"source", source}},
                read_clocks().mono);
 }
 
@@ -479,6 +480,10 @@
     gauge("follows_store", follows_store_ ? 1 : 0);
     gauge("store_lost", store_lost() ? 1 : 0);
     gauge("log_lines_left_out", log_.dropped());
+    out += "# TYPE cove_bytes_to_peers counter\n";
+    for (auto const& [kind, bytes] : bytes_to_peers_) {
+        out += "cove_bytes_to_peers{message=\"" + kind + "\"} " + std::to_string(bytes) + "\n";
+    }
     return out;
 }
 
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -62,7 +62,7 @@
     void start_leaving();
     void finish_leaving();
 
-    void on_config(config_document document);
+    void on_config(config_document document, std::string const& source);
     void on_message(std::string const& bytes);
     void on(gossip const& message);
     void on(pull_request const& message);
@@ -72,6 +72,7 @@
     void apply(target_snapshot const& list);
     void apply(evacuation_snapshot const& list);
     void push_to_zone(host_message const& message);
+    void transmit(std::vector<std::string> const& ips, host_message const& message);
     void forward_changes(targets_changed const& changes);
 
     void tick();
@@ -115,6 +116,7 @@
     std::optional<config_document> config_; ///< the active configuration
     bool targets_known_ = false;
     share_limiter shares_;
+    std::map<std::string, std::uint64_t> bytes_to_peers_; ///< sent so far, by kind of message
     mono_time started_;
     // Derived from the list of serving hosts:
     std::uint64_t serving_version_ = 0; ///< of the list
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -2,6 +2,8 @@
 
 #include "host/entry_host.h"
 
+#include <array>
+
 namespace cove {
 
 namespace {
@@ -17,21 +19,35 @@
 /// store; the other hosts wait this long, so that they can pull it inside the zone instead.
 constexpr milliseconds cross_zone_pull_delay{2000};
 
+char const* kind_of(host_message const& message)
+{
+    constexpr std::array<char const*, std::variant_size_v<host_message>> kinds{
+        "gossip", "pull_request", "snapshot", "target_changes"};
+    return kinds.at(message.index());
+}
+
 } // namespace
 
 void entry_host::send(host_effects const& effects)
 {
     for (outgoing_host_message const& effect : effects) {
-        if (effect.ips.empty()) {
-            continue;
-        }
-        std::string const bytes = encode_host_message(effect.message);
-        for (std::string const& ip : effect.ips) {
-            transport_.send(ip, bytes);
-        }
+        transmit(effect.ips, effect.message);
     }
 }
 
+/** Sends @p message, encoded once, to the hosts at @p ips. */
+void entry_host::transmit(std::vector<std::string> const& ips, host_message const& message)
+{
+    if (ips.empty()) {
+        return;
+    }
+    std::string const bytes = encode_host_message(message);
+    for (std::string const& ip : ips) {
+        transport_.send(ip, bytes);
+    }
+    bytes_to_peers_[kind_of(message)] += bytes.size() * ips.size();
+}
+
 void entry_host::tick()
 {
     mono_time const now = read_clocks().mono;
@@ -139,7 +155,7 @@
         pull_request const request{settings_.ip, newest.config > own.config,
                                    newest.targets > own.targets,
                                    newest.evacuations > own.evacuations};
-        transport_.send(source_ip, encode_host_message(request));
+        transmit({source_ip}, request);
     }
 }
 
@@ -171,7 +187,7 @@
     if (message.evacuations) {
         answer.evacuations = evacuation_snapshot{evacuated_, evacuations_at_};
     }
-    transport_.send(message.sender_ip, encode_host_message(answer));
+    transmit({message.sender_ip}, answer);
 }
 
 void entry_host::on(host_snapshot const& message)
@@ -179,7 +195,7 @@
     if (!message.config_text.empty()) {
         auto document = store_.read_config(message.config_text);
         if (document) {
-            on_config(std::move(*document));
+            on_config(std::move(*document), "peer");
         }
         else {
             log_.event("malformed_config", {{"reason", to_string(document.error())}},
@@ -254,10 +270,7 @@
 /** Sends @p message to all other live hosts of this zone. */
 void entry_host::push_to_zone(host_message const& message)
 {
-    std::string const bytes = encode_host_message(message);
-    for (std::string const& ip : view_.zone_peer_ips(read_clocks().mono)) {
-        transport_.send(ip, bytes);
-    }
+    transmit(view_.zone_peer_ips(read_clocks().mono), message);
 }
 
 } // namespace cove
--- a/tests/host_test.cpp
+++ b/tests/host/entry_host_test.cpp
@@ -1,8 +1,6 @@
-/** @file A whole entry host over loopback; the test acts as client, targets and store. */
+/** @file One whole entry host over loopback. */
 
-#include "host/entry_host.h"
-#include "support/free_port.h"
-#include "support/scripted_server.h"
+#include "support/host_case.h"
 
 #include <fstream>
 #include <gtest/gtest.h>
@@ -10,35 +8,6 @@
 namespace cove {
 namespace {
 
-std::string settings_text(std::string const& changed = "", std::string const& value = "")
-{
-    nlohmann::json settings{{"name", "h1"},
-                            {"zone", "east"},
-                            {"region", "r"},
-                            {"regions", {{"east", "r"}}},
-                            {"client_address", loopback(free_port())},
-                            {"readiness_address", loopback(free_port())},
-                            {"directory_address", loopback(free_port())},
-                            {"metrics_address", loopback(free_port())},
-                            {"ip", "127.0.0.1"},
-                            {"peer_port", free_port()},
-                            {"seeds", nlohmann::json::array()},
-                            {"store_address", "127.0.0.1:9"},
-                            {"heartbeat", "1500ms"},
-                            {"drain", "2s"},
-                            {"grace", "2s"},
-                            {"answer_lifetime_max", "5s"},
-                            {"repeat_ratio", 0.2},
-                            {"repeat_window", "10s"},
-                            {"repeat_slack", 50},
-                            {"shift_cap", 0.15},
-                            {"first_start", false}};
-    if (!changed.empty()) {
-        settings[changed] = nlohmann::json::parse(value);
-    }
-    return settings.dump();
-}
-
 TEST(host_settings, match_the_deployment_template)
 {
     // The platform replaces the placeholders; null keeps the template valid JSON.
@@ -83,132 +52,6 @@
     EXPECT_NE(to_string(read.error()).find("missing"), std::string::npos);
 }
 
-std::string response(std::string const& status, std::string const& fields,
-                     std::string const& body = "")
-{
-    return "HTTP/1.1 " + status + "\r\n" + fields +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string const served = response("200 OK", "Attempt: a1\r\nSignature: s\r\n", "whole body");
-
-/** An entry host whose store is simulated by the test. */
-class host_case : public testing::Test {
-protected:
-    host_case() : timers(loop)
-    {
-        auto const settings = host_settings_table().parse(settings_text(), "test");
-        EXPECT_TRUE(settings);
-        client_address = settings->client_address;
-        ready_address = settings->readiness_address;
-        directory_address = settings->directory_address;
-        metrics_address = settings->metrics_address;
-        host_wire_format wire;
-        wire.names = {"Attempt", "Deadline", "Object", "Expected", "Signature", "Not-Run", "Load"};
-        wire.ready_path = "/ready";
-        wire.parse_lookup = [](std::string const&) {
-            return lookup_request{"desk.example", zone_id("east")};
-        };
-        wire.lookup_body = [](std::vector<std::string> const& addresses, milliseconds) {
-            return nlohmann::json(addresses).dump();
-        };
-        host = std::make_unique<entry_host>(
-            loop, timers, *settings, wire, [settings] { return *settings; },
-            [this](store_hooks hooks) {
-                store = std::move(hooks);
-                return silent_store();
-            });
-        EXPECT_TRUE(host->start());
-    }
-
-    /** A store that never calls back; tests call the hooks themselves. */
-    static store_calls silent_store()
-    {
-        follow_calls calls;
-        calls.list = [](read_freshness, follow_calls::done const&) {};
-        calls.watch = [](revision, follow_calls::done const&) {};
-        calls.abort = [] {};
-        store_calls port;
-        port.config = port.targets = port.evacuations = calls;
-        port.register_host = [](host_record const&, bool, std::function<void(bool)> const&) {};
-        port.list_hosts = [](std::function<void(bool)> const&) {};
-        return port;
-    }
-
-    void configure(std::uint64_t version, std::string const& prefix, bool idempotent = false)
-    {
-        config_document document;
-        document.text = "text";
-        document.config.version = generation(version);
-        route_config route;
-        route.name = route_id("route");
-        route.host = "desk.example";
-        route.prefix = prefix;
-        route.idempotent = idempotent;
-        route.timeout = milliseconds{1000};
-        route.objective = milliseconds{500};
-        route.max_attempts = 2;
-        route.services = {{service_id("desk"), 1}};
-        document.config.routes = {route};
-        document.config.services[service_id("desk")] = {service_id("desk"), "/h", 9,
-                                                        milliseconds{3000}, 10};
-        document.config.limits = {16384, 1 << 20, milliseconds{3000}, milliseconds{15'000}};
-        store.config(document);
-    }
-
-    void list(std::vector<scripted_server*> const& servers, std::uint64_t at = 1)
-    {
-        std::vector<target_entry> entries;
-        for (std::size_t i = 0; i < servers.size(); ++i) {
-            target_entry entry;
-            entry.id = target_id("t" + std::to_string(i));
-            entry.service = service_id("desk");
-            entry.address = servers[i]->address();
-            entry.zone = zone_id("east");
-            entry.slots = 4;
-            entries.push_back(entry);
-        }
-        store.targets_listed({entries, revision(at)});
-    }
-
-    /** Sends one request and waits for its answer. */
-    exchange_result ask(std::string const& address, std::string const& target,
-                        std::string const& body = "")
-    {
-        auto const where = parse_address(address);
-        auto const connection = std::make_shared<exchange_connection>(
-            loop,
-            http_endpoint(boost::asio::ip::make_address(where->ip),
-                          static_cast<std::uint16_t>(where->port)),
-            exchange_limits{});
-        http_request request(boost::beast::http::verb::put, target, 11);
-        request.set(boost::beast::http::field::host, "desk.example");
-        request.set("Attempt", "a1");
-        request.set("Deadline", "1500");
-        request.body() = body;
-        request.prepare_payload();
-        std::optional<exchange_result> got;
-        connection->exchange(std::move(request), nullptr,
-                             [&](exchange_result result) { got = std::move(result); });
-        EXPECT_TRUE(run_until(loop, [&] { return got.has_value(); }));
-        return got.value_or(exchange_result{});
-    }
-
-    unsigned status(std::string const& target)
-    {
-        return ask(client_address, target).response.result_int();
-    }
-
-    boost::asio::io_context loop;
-    loop_timers timers;
-    store_hooks store;
-    std::string client_address;
-    std::string ready_address;
-    std::string directory_address;
-    std::string metrics_address;
-    std::unique_ptr<entry_host> host;
-};
-
 TEST_F(host_case, refuses_until_configured_and_ignores_older_configurations)
 {
     auto const early = ask(client_address, "/new/1");
