Spread a configuration over a relay tree instead of from every follower to all hosts

Cause: each of the two hosts of a zone that follow the store sent the whole configuration to every other host of the zone. With 2,800 routes (0.7 MB) and 13 hosts that is 9 MB from each. The second follower by name had a link of 10 Mbit/s: for eight seconds after each change its own watch, the acknowledgements of what it received and its answers to clients waited behind its copies, so it answered 404 for routes that had been acknowledged 3.7 s before. Class of fault: work per event that grows with the zone, done twice, on whichever link happens to carry it.

Configurations travel in zlib format, and a host keeps only that form. The same cause in pulls: every lagging host pulled from the first host by name; now hosts with the newest data share the pulls, and each limits the bytes that it answers with per second.

The second follower delivers what the first one misses (test).

--- a/src/follow/lag_detector.h
+++ b/src/follow/lag_detector.h
@@ -25,6 +25,9 @@
     bool should_pull(known_versions const& own, known_versions const& newest,
                      milliseconds pull_delay, mono_time now);
 
+    /** Tells that no peer has newer data. */
+    void up_to_date() { missing_versions_.reset(); }
+
 private:
     std::optional<known_versions> missing_versions_; ///< versions that a peer had at missing_since_
     mono_time missing_since_{};
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "host/entry_host.h"
 
+#include "core/deflate_func.h"
 #include "core/hash_func.h"
 #include "log/log_func.h"
 
@@ -36,6 +37,9 @@
 /// Fraction of the grace time after which the process exits even if requests are still open.
 constexpr double exit_fraction = 0.97;
 constexpr milliseconds exit_check_interval{20};
+/// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
+/// well.
+constexpr double bulk_answer_bytes_per_second = 400'000;
 
 std::uint64_t random_seed()
 {
@@ -106,6 +110,7 @@
       target_follower_(timers, store_.targets, random_seed()),
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
+      bulk_answers_(bulk_answer_bytes_per_second),
       shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
       started_(read_clocks().mono), quota_division_(node_id(settings_.name))
 {
@@ -115,11 +120,9 @@
 store_hooks entry_host::hooks()
 {
     store_hooks out;
-    out.config = [this](config_document document) {
-        bool const newer = !config_ || document.config.version > config_->config.version;
-        on_config(std::move(document), "store");
-        if (newer) {
-            push_to_zone(host_snapshot{config_->text, {}, {}});
+    out.config = [this](config_document const& document) {
+        if (on_config(document, deflate_text(document.text), "store")) {
+            push_config();
         }
     };
     out.targets_listed = [this](target_snapshot const& list) { apply(list); };
@@ -139,7 +142,7 @@
             begun ? (void)next.zones.insert(zone) : (void)next.zones.erase(zone);
         }
         apply(next);
-        push_to_zone(host_snapshot{{}, {}, next});
+        push_to_zone(host_snapshot{{}, {}, next, {}});
     };
     out.hosts_listed = [this](std::vector<host_record> const& hosts) {
         hosts_listed_ = true;
@@ -336,13 +339,20 @@
     });
 }
 
-void entry_host::on_config(config_document document, std::string const& source)
+/**
+ * Activates a configuration unless it is older than the active one.
+ * @param packed its text in zlib format.
+ * @param source for the log.
+ * @return whether it was activated.
+ */
+bool entry_host::on_config(config_document const& document, std::string packed,
+                           std::string const& source)
 {
-    if (config_ && document.config.version <= config_->config.version) {
-        return;
+    routing_config const& config = document.config;
+    if (config_ && config.version <= config_->version) {
+        return false;
     }
-    config_ = std::move(document);
-    routing_config const& config = config_->config;
+    config_ = packed_config{config.version, std::move(packed)};
     server_limits limits;
     limits.header_bytes = static_cast<std::uint32_t>(config.limits.header_bytes);
     limits.body_bytes = config.limits.body_bytes;
@@ -355,6 +365,7 @@
                 {"routes", std::to_string(config.routes.size())},
                 {"source", source}},
                read_clocks().mono);
+    return true;
 }
 
 bool entry_host::ready() const
@@ -364,7 +375,7 @@
 
 known_versions entry_host::versions() const
 {
-    return {config_ ? config_->config.version : generation{}, targets_.current_revision(),
+    return {config_ ? config_->version : generation{}, targets_.current_revision(),
             evacuations_at_};
 }
 
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -10,6 +10,7 @@
 #include "host/host_settings.h"
 #include "host/request_forwarder.h"
 #include "host/store_calls.h"
+#include "peer/byte_budget.h"
 #include "peer/host_view.h"
 #include "peer/loop_transport.h"
 #include "traffic/target_list.h"
@@ -62,13 +63,17 @@
     void start_leaving();
     void finish_leaving();
 
-    void on_config(config_document document, std::string const& source);
+    bool on_config(config_document const& document, std::string packed, std::string const& source);
+    void push_config();
+    void push_config_to_lagging();
     void on_message(std::string const& bytes);
     void on(gossip const& message);
     void on(pull_request const& message);
     void on(host_snapshot const& message);
     void on(target_changes const& message);
     bool apply(target_changes const& message);
+    void apply(packed_config const& received);
+    void relay_config(packed_config const& config, std::vector<std::string> const& receivers);
     void apply(target_snapshot const& list);
     void apply(evacuation_snapshot const& list);
     void push_to_zone(host_message const& message);
@@ -113,7 +118,9 @@
     target_list targets_;
     std::set<zone_id> evacuated_;
     revision evacuations_at_;
-    std::optional<config_document> config_; ///< the active configuration
+    std::optional<packed_config> config_; ///< the active configuration
+    bool config_push_pending_ = false;
+    byte_budget bulk_answers_;
     bool targets_known_ = false;
     share_limiter shares_;
     std::map<std::string, std::uint64_t> bytes_to_peers_; ///< sent so far, by kind of message
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -2,6 +2,9 @@
 
 #include "host/entry_host.h"
 
+#include "core/deflate_func.h"
+#include "peer/relay_tree.h"
+
 #include <array>
 
 namespace cove {
@@ -19,6 +22,18 @@
 /// store; the other hosts wait this long, so that they can pull it inside the zone instead.
 constexpr milliseconds cross_zone_pull_delay{2000};
 
+/// Time that a configuration takes from the first follower of a zone to all hosts of the zone.
+constexpr milliseconds standby_push_delay{500};
+constexpr std::size_t max_config_bytes = 16U << 20U; ///< the store limits an object to less
+constexpr std::size_t target_entry_bytes = 100;      ///< of an encoded entry, about
+
+/** @return about the size of the encoded @p answer. */
+std::size_t size_of(host_snapshot const& answer)
+{
+    return (answer.config ? answer.config->bytes.size() : 0) +
+           (answer.targets ? answer.targets->entries.size() * target_entry_bytes : 0);
+}
+
 char const* kind_of(host_message const& message)
 {
     constexpr std::array<char const*, std::variant_size_v<host_message>> kinds{
@@ -129,33 +144,20 @@
 void entry_host::pull_if_behind(mono_time now)
 {
     known_versions const own = versions();
-    known_versions newest = own;
-    std::string source_ip;
-    bool from_other_zone = false;
-    auto const consider = [&](auto const& source, bool other_zone) {
-        if (!newest.covers(source.versions)) {
-            newest = source.versions;
-            source_ip = source.ip;
-            from_other_zone = other_zone;
-        }
-    };
-    for (host_report const* const host : view_.zone_hosts(now)) {
-        consider(*host, false);
-    }
-    if (source_ip.empty()) {
-        for (zone_status const& zone : view_.zones(now)) {
-            consider(zone, true);
-        }
+    auto const source = view_.choose_pull_source(own, now);
+    if (!source) {
+        lag_.up_to_date();
+        return;
     }
     milliseconds pull_delay = ready() ? zone_pull_delay : milliseconds{0};
-    if (from_other_zone && !follows_store_) {
+    if (source->in_other_zone && !follows_store_) {
         pull_delay = cross_zone_pull_delay;
     }
+    known_versions const& newest = source->versions;
     if (lag_.should_pull(own, newest, pull_delay, now)) {
-        pull_request const request{settings_.ip, newest.config > own.config,
-                                   newest.targets > own.targets,
-                                   newest.evacuations > own.evacuations};
-        transmit({source_ip}, request);
+        transmit({source->ip},
+                 pull_request{settings_.ip, newest.config > own.config,
+                              newest.targets > own.targets, newest.evacuations > own.evacuations});
     }
 }
 
@@ -178,8 +180,8 @@
 void entry_host::on(pull_request const& message)
 {
     host_snapshot answer;
-    if (message.config && config_) {
-        answer.config_text = config_->text;
+    if (message.config) {
+        answer.config = config_;
     }
     if (message.targets && targets_known_) {
         answer.targets = target_snapshot{targets_.entries(), targets_.current_revision()};
@@ -187,20 +189,19 @@
     if (message.evacuations) {
         answer.evacuations = evacuation_snapshot{evacuated_, evacuations_at_};
     }
+    // The peer pulls again, perhaps from another host, if it gets no answer.
+    if (!bulk_answers_.take(size_of(answer), read_clocks().mono)) {
+        log_.event("pull_not_answered", {{"peer", message.sender_ip}}, read_clocks().mono);
+        return;
+    }
     transmit({message.sender_ip}, answer);
 }
 
 void entry_host::on(host_snapshot const& message)
 {
-    if (!message.config_text.empty()) {
-        auto document = store_.read_config(message.config_text);
-        if (document) {
-            on_config(std::move(*document), "peer");
-        }
-        else {
-            log_.event("malformed_config", {{"reason", to_string(document.error())}},
-                       read_clocks().mono);
-        }
+    if (message.config) {
+        relay_config(*message.config, message.relay_to);
+        apply(*message.config);
     }
     if (message.targets) {
         apply(*message.targets);
@@ -210,6 +211,54 @@
     }
 }
 
+/** Activates a configuration that a peer sent, unless it is older than the active one. */
+void entry_host::apply(packed_config const& received)
+{
+    if (config_ && received.version <= config_->version) {
+        return;
+    }
+    auto document = inflate_text(received.bytes, max_config_bytes).and_then(store_.read_config);
+    if (!document) {
+        log_.event("malformed_config", {{"reason", to_string(document.error())}},
+                   read_clocks().mono);
+        return;
+    }
+    on_config(*document, received.bytes, "peer");
+}
+
+/** Sends @p config to @p receivers, a few of which pass it on to the others. */
+void entry_host::relay_config(packed_config const& config,
+                              std::vector<std::string> const& receivers)
+{
+    for (relay_branch& branch : divide_for_relay(receivers)) {
+        transmit({branch.receiver}, host_snapshot{config, {}, {}, std::move(branch.relay_to)});
+    }
+}
+
+/**
+ * Sends a new configuration of the store to the zone. Of the hosts that follow the store, the first
+ * one sends it to all others; the next one waits and sends it to those that still lack it.
+ */
+void entry_host::push_config()
+{
+    mono_time const now = read_clocks().mono;
+    if (view_.follows_store(1, now)) {
+        push_config_to_lagging();
+    }
+    else if (!config_push_pending_) {
+        config_push_pending_ = true;
+        timers_.once(now + standby_push_delay + view_.zone_round(), [this] {
+            config_push_pending_ = false;
+            push_config_to_lagging();
+        });
+    }
+}
+
+void entry_host::push_config_to_lagging()
+{
+    relay_config(*config_, view_.zone_peer_ips_before(config_->version, read_clocks().mono));
+}
+
 void entry_host::apply(target_snapshot const& list)
 {
     targets_known_ = true;
--- /dev/null
+++ b/src/peer/byte_budget.cpp
@@ -0,0 +1,20 @@
+#include "peer/byte_budget.h"
+
+#include <algorithm>
+
+namespace cove {
+
+bool byte_budget::take(std::size_t bytes, mono_time now)
+{
+    double const seconds = std::chrono::duration<double>(now - refilled_).count();
+    left_ = std::min(bytes_per_second_, left_ + seconds * bytes_per_second_);
+    refilled_ = now;
+    auto const size = static_cast<double>(bytes);
+    if (left_ < std::min(size, bytes_per_second_)) {
+        return false;
+    }
+    left_ -= size;
+    return true;
+}
+
+} // namespace cove
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -37,6 +37,13 @@
     host_incarnation left_incarnation; ///< the one that announced its shutdown
 };
 
+/** A host from which newer versions of the store's data can be pulled. */
+struct pull_source {
+    std::string ip;
+    known_versions versions;
+    bool in_other_zone = false;
+};
+
 /** State of this host that goes into its next report. */
 struct local_host_state {
     bool leaving = false;
@@ -112,6 +119,17 @@
     /** @return the IPs of the other live hosts of this zone. */
     [[nodiscard]] std::vector<std::string> zone_peer_ips(mono_time now) const;
 
+    /** @return of these, the hosts whose last report names a configuration before @p version. */
+    [[nodiscard]] std::vector<std::string> zone_peer_ips_before(generation version,
+                                                                mono_time now) const;
+
+    /**
+     * @return a host that has newer data than @p own, of this zone if there is one. It is drawn at
+     * random among those with the newest data, so that they share the pulls of a zone.
+     */
+    [[nodiscard]] std::optional<pull_source> choose_pull_source(known_versions const& own,
+                                                                mono_time now);
+
     /** @return the time in which each zone peer gets at least one report of this host. */
     [[nodiscard]] milliseconds zone_round() const
     {
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -190,7 +190,13 @@
 void write(wire::HostEnvelope& out, host_snapshot const& message)
 {
     auto* const body = out.mutable_snapshot();
-    body->set_config_text(message.config_text);
+    if (message.config) {
+        body->set_config_version(message.config->version.value);
+        body->set_packed_config(message.config->bytes);
+    }
+    for (std::string const& ip : message.relay_to) {
+        body->add_relay_to(ip);
+    }
     body->set_has_targets(message.targets.has_value());
     if (message.targets) {
         body->set_targets_revision(message.targets->at.value);
@@ -252,7 +258,10 @@
 host_snapshot read(wire::HostSnapshot const& in)
 {
     host_snapshot message;
-    message.config_text = in.config_text();
+    if (!in.packed_config().empty()) {
+        message.config = packed_config{generation(in.config_version()), in.packed_config()};
+    }
+    message.relay_to = {in.relay_to().begin(), in.relay_to().end()};
     if (in.has_targets()) {
         target_snapshot targets{{}, revision(in.targets_revision())};
         for (wire::ListedTarget const& record : in.targets()) {
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -90,11 +90,18 @@
     revision at;
 };
 
-/** Answer to a pull request, with the data it asked for. */
+/** A configuration, compressed because it is sent to every host. */
+struct packed_config {
+    generation version;
+    std::string bytes; ///< the stored text in zlib format
+};
+
+/** Complete data of some kinds: the answer to a pull request, or pushed after a change. */
 struct host_snapshot {
-    std::string config_text; ///< empty if not requested
+    std::optional<packed_config> config;
     std::optional<target_snapshot> targets;
     std::optional<evacuation_snapshot> evacuations;
+    std::vector<std::string> relay_to; ///< IPs to which the receiver passes the configuration on
 };
 
 /** A change of one entry of the list of targets. */
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,3 +1,4 @@
+#include "core/deflate_func.h"
 #include "core/hash_func.h"
 #include "core/timer_service.h"
 
@@ -46,4 +47,18 @@
     EXPECT_FALSE(called);
 }
 
+TEST(deflate, returns_the_text_and_rejects_other_bytes)
+{
+    constexpr std::size_t limit = 1'000'000;
+    std::string const text(300'000, 'x');
+    std::string const packed = cove::deflate_text(text);
+    EXPECT_LT(packed.size(), text.size() / 100);
+    EXPECT_EQ(cove::inflate_text(packed, limit).value(), text);
+    EXPECT_EQ(cove::inflate_text(cove::deflate_text(""), limit).value(), "");
+    EXPECT_FALSE(cove::inflate_text(packed, text.size() - 1));
+    EXPECT_FALSE(cove::inflate_text(packed.substr(0, packed.size() / 2), limit));
+    EXPECT_FALSE(cove::inflate_text("not packed", limit));
+    EXPECT_FALSE(cove::inflate_text("", limit));
+}
+
 } // namespace
--- a/tests/host/config_spread_test.cpp
+++ b/tests/host/config_spread_test.cpp
@@ -128,5 +128,13 @@
     }
 }
 
+TEST_F(zone_case, the_second_follower_delivers_what_the_first_one_misses)
+{
+    start_zone();
+    deliver(1, large_config(2));
+    EXPECT_TRUE(run_until(
+        loop, [this] { return all_have(2); }, milliseconds{2500}));
+}
+
 } // namespace
 } // namespace cove
--- a/tests/peer_test.cpp
+++ b/tests/peer/peer_view_test.cpp
@@ -320,12 +320,16 @@
     EXPECT_FALSE(list.changes.at(1).entry);
 
     auto const snapshot_result = decode_host_message(
-        encode_host_message(host_snapshot{"text", target_snapshot{{entry}, revision(3)},
-                                          evacuation_snapshot{{zone_id("a")}, revision(4)}}),
+        encode_host_message(host_snapshot{packed_config{generation(7), "packed"},
+                                          target_snapshot{{entry}, revision(3)},
+                                          evacuation_snapshot{{zone_id("a")}, revision(4)},
+                                          {"10.0.0.9"}}),
         "peer");
     ASSERT_TRUE(snapshot_result);
     auto const& received_snapshot = std::get<host_snapshot>(*snapshot_result);
-    EXPECT_EQ(received_snapshot.config_text, "text");
+    EXPECT_EQ(received_snapshot.config->version, generation(7));
+    EXPECT_EQ(received_snapshot.config->bytes, "packed");
+    EXPECT_EQ(received_snapshot.relay_to, std::vector<std::string>{"10.0.0.9"});
     EXPECT_EQ(received_snapshot.targets->entries.at(0), entry);
     EXPECT_TRUE(received_snapshot.evacuations->zones.contains(zone_id("a")));
 }
