--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -78,6 +78,45 @@
     return port;
 }
 
+/** @return a configuration with one route to the service `desk`. */
+inline config_document desk_config(std::uint64_t version, std::string const& prefix,
+                                   bool idempotent = false)
+{
+    config_document document;
+    document.text = "text";
+    document.config.version = generation(version);
+    route_config route;
+    route.name = route_id("route");
+    route.host = "desk.example";
+    route.prefix = prefix;
+    route.idempotent = idempotent;
+    route.timeout = milliseconds{1000};
+    route.objective = milliseconds{500};
+    route.max_attempts = 2;
+    route.services = {{service_id("desk"), 1}};
+    document.config.routes = {route};
+    document.config.services[service_id("desk")] = {service_id("desk"), "/h", 9, milliseconds{3000},
+                                                    10};
+    document.config.limits = {16384, 1 << 20, milliseconds{3000}, milliseconds{15'000}};
+    return document;
+}
+
+/** @return entries `t0`, `t1`, … of the service `desk` at the addresses of @p servers. */
+inline std::vector<target_entry> desk_targets(std::vector<scripted_server*> const& servers)
+{
+    std::vector<target_entry> entries;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        target_entry entry;
+        entry.id = target_id("t" + std::to_string(i));
+        entry.service = service_id("desk");
+        entry.address = servers[i]->address();
+        entry.zone = zone_id("east");
+        entry.slots = 4;
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
 /** Sends one request on a new connection and waits for its answer. */
 inline exchange_result exchange_once(boost::asio::io_context& loop, std::string const& address,
                                      http_request request)
@@ -114,38 +153,12 @@
 
     void configure(std::uint64_t version, std::string const& prefix, bool idempotent = false)
     {
-        config_document document;
-        document.text = "text";
-        document.config.version = generation(version);
-        route_config route;
-        route.name = route_id("route");
-        route.host = "desk.example";
-        route.prefix = prefix;
-        route.idempotent = idempotent;
-        route.timeout = milliseconds{1000};
-        route.objective = milliseconds{500};
-        route.max_attempts = 2;
-        route.services = {{service_id("desk"), 1}};
-        document.config.routes = {route};
-        document.config.services[service_id("desk")] = {service_id("desk"), "/h", 9,
-                                                        milliseconds{3000}, 10};
-        document.config.limits = {16384, 1 << 20, milliseconds{3000}, milliseconds{15'000}};
-        store.config(document);
+        store.config(desk_config(version, prefix, idempotent));
     }
 
     void list(std::vector<scripted_server*> const& servers, std::uint64_t at = 1)
     {
-        std::vector<target_entry> entries;
-        for (std::size_t i = 0; i < servers.size(); ++i) {
-            target_entry entry;
-            entry.id = target_id("t" + std::to_string(i));
-            entry.service = service_id("desk");
-            entry.address = servers[i]->address();
-            entry.zone = zone_id("east");
-            entry.slots = 4;
-            entries.push_back(entry);
-        }
-        store.targets_listed({entries, revision(at)});
+        store.targets_listed({desk_targets(servers), revision(at)});
     }
 
     /** Sends one request and waits for its answer. */
--- /dev/null
+++ b/tests/support/zone_case.h
@@ -0,0 +1,116 @@
+#pragma once
+/** @file The entry hosts of one zone over loopback. */
+
+#include "support/host_case.h"
+
+namespace cove {
+
+/** The hosts of one zone; the test acts as the store of each of them. */
+class zone_case : public testing::Test {
+protected:
+    /** @param host_count hosts `h11`, `h12`, … at 127.0.0.11, 127.0.0.12, … */
+    explicit zone_case(int host_count = 13) : timers(loop)
+    {
+        nlohmann::json common = nlohmann::json::parse(settings_text());
+        common["seeds"] = {"127.0.0.11:1", "127.0.0.12:1"};
+        common["first_start"] = true;
+        for (int i = 0; i < host_count; ++i) {
+            std::string const ip = "127.0.0." + std::to_string(11 + i);
+            nlohmann::json own = common;
+            own["name"] = "h" + std::to_string(11 + i);
+            own["ip"] = ip;
+            for (char const* const listener :
+                 {"client_address", "readiness_address", "directory_address", "metrics_address"}) {
+                own[listener] = ip + ":" + std::to_string(free_port());
+            }
+            auto const settings = host_settings_table().parse(own.dump(), "test");
+            EXPECT_TRUE(settings);
+            metrics.push_back(settings->metrics_address);
+            clients.push_back(settings->client_address);
+            hosts.push_back(std::make_unique<entry_host>(
+                loop, timers, *settings, test_wire_format(), [settings] { return *settings; },
+                [this](store_hooks hooks) {
+                    stores.push_back(std::move(hooks));
+                    store_calls calls = silent_store();
+                    calls.read_config = read_config;
+                    return calls;
+                }));
+            EXPECT_TRUE(hosts.back()->start());
+        }
+    }
+
+    /** The text of a configuration starts with its version. */
+    static result<config_document> read_config(std::string const& text)
+    {
+        config_document document{text, {}};
+        document.config.version = generation(std::stoull(text));
+        return document;
+    }
+
+    /** @return a configuration of as many routes as a large one has, 0.7 MB. */
+    static std::string large_config(int version)
+    {
+        std::string text = std::to_string(version) + "\n";
+        for (unsigned i = 0; i < 2800; ++i) {
+            std::string const name = std::to_string(i * 2654435761U);
+            text += R"({"metadata":{"name":"r-)" + name +
+                    R"("},"resource_kind":"routes","spec":{"host":"h)" + name +
+                    R"(.example","kind":"non_idempotent","max_attempts":2,"path_prefix":"/p)" +
+                    name + R"(/","priority":1,"service":"desk","sticky_sessions":false,)" +
+                    R"("target_latency":"250ms","timeout":"1500ms"}})" + "\n";
+        }
+        return text;
+    }
+
+    /** Delivers a configuration to host @p i as its watch of the store does. */
+    void deliver(std::size_t i, std::string const& text) { stores[i].config(*read_config(text)); }
+
+    std::uint64_t metric(std::size_t i, std::string const& name)
+    {
+        http_request request(boost::beast::http::verb::get, "/metrics", 11);
+        std::string const text =
+            exchange_once(loop, metrics[i], std::move(request)).response.body();
+        auto const at = text.find("\n" + name + " ");
+        return at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size() + 2));
+    }
+
+    bool all_have(std::uint64_t version)
+    {
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            if (metric(i, "cove_config_version") != version) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool all_know_each_other()
+    {
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            if (metric(i, "cove_serving_hosts") != hosts.size()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Lets all hosts serve with a small configuration and know each other. */
+    void start_zone()
+    {
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            deliver(i, "1\n");
+            stores[i].targets_listed({{}, revision(1)});
+        }
+        ASSERT_TRUE(run_until(
+            loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
+    }
+
+    boost::asio::io_context loop;
+    loop_timers timers;
+    std::vector<store_hooks> stores;
+    std::vector<std::string> metrics; ///< address of each host
+    std::vector<std::string> clients; ///< address of each host
+    std::vector<std::unique_ptr<entry_host>> hosts;
+};
+
+} // namespace cove
