Send nothing to a target that says in an answer that it leaves

Cause: a leaving target was known from the store alone. Change: the answer counts as well, for new requests, waiting ones and retries, until the target starts again; also when it has gone from the list and come back to it, as after a return of the store from an older copy.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -192,7 +192,7 @@
 
 target_notice request_forwarder::parse_notice(http_response const& response) const
 {
-    return {read_decimal(to_std_string(response[names_.limit]))};
+    return {read_decimal(to_std_string(response[names_.limit])), response[names_.leaving] == "1"};
 }
 
 attempt_end request_forwarder::classify(exchange_result const& result) const
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -22,6 +22,7 @@
     std::string signature;       ///< set by targets only; responses of others lack it
     std::string not_run;         ///< present if the target did not run the request
     std::string load;            ///< running,waiting,slots of the target
+    std::string leaving;         ///< `1` if the target shuts down
     std::string limit; ///< requests per second that the target takes from all hosts together
 };
 
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -77,6 +77,7 @@
     if (restarted || moved) {
         objects_.clear();
         address_reused_ = false;
+        said_leaving_ = false;
         resume_at_ = now;
         backoff_ = milliseconds{0};
         limit_ = {};
@@ -98,7 +99,7 @@
 
 bool target_state::accepts(mono_time now) const
 {
-    return entry_.phase == target_phase::serving && !address_reused_ && now >= resume_at_;
+    return !leaving() && !address_reused_ && now >= resume_at_;
 }
 
 bool target_state::silent(mono_time now) const
@@ -217,6 +218,7 @@
     }
     if (event.notice) {
         record_limit(event.notice->limit, now);
+        said_leaving_ = said_leaving_ || event.notice->leaving;
     }
     bool const was_busy = load(now) >= busy_share * entry_.slots;
     switch (event.end) {
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -64,6 +64,15 @@
 
     [[nodiscard]] bool cold(mono_time now) const { return now < cold_until_; }
 
+    /** @return whether the target shuts down, by the list of targets or by its own answers. */
+    [[nodiscard]] bool leaving() const
+    {
+        return said_leaving_ || entry_.phase == target_phase::leaving;
+    }
+
+    /** Notes that the target itself has said, at any time of this incarnation, that it leaves. */
+    void set_said_leaving() { said_leaving_ = true; }
+
     /** @return whether the target can get new requests at all. */
     [[nodiscard]] bool accepts(mono_time now) const;
 
@@ -148,6 +157,7 @@
     mono_time last_sent_{};
     mono_time last_answer_{};     ///< last sign of life: end of an attempt that reached the target
     milliseconds backoff_{};      ///< current wait after failed connections
+    bool said_leaving_ = false;   ///< in an answer; holds until the target restarts
     bool address_reused_ = false; ///< its address now belongs to another target
 };
 
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -135,6 +135,10 @@
     double const expected_ms = was_warm ? times.warm.value() : times.cold.value();
     target.attempt_ended(event, elapsed_ms / std::max(0.1, expected_ms),
                          service_settings_[request.service].cold_period, now_);
+    if (event.notice && event.notice->leaving &&
+        left_targets_.note(event.target, target.entry().incarnation, now_)) {
+        object_balances_[request.service].targets_changed();
+    }
     if (target.limit_to_report(now_)) {
         limited_.insert(target.short_hash());
     }
@@ -211,10 +215,14 @@
 bool traffic::put_target(target_entry const& entry)
 {
     auto const [found, inserted] = targets_.try_emplace(entry.id, entry, now_);
+    target_state& target = found->second;
     if (inserted) {
+        // The store may return from an older copy, which lists a target as serving again.
+        if (left_targets_.contains(entry.id, entry.incarnation)) {
+            target.set_said_leaving();
+        }
         return true;
     }
-    target_state& target = found->second;
     bool const moved = target.entry().service != entry.service || target.entry().zone != entry.zone;
     if (target.entry() != entry) {
         target.update(entry, now_);
@@ -249,7 +257,7 @@
         }
         std::vector<balance_target> targets;
         for (target_state const* const target : targets_by_service_[service].local) {
-            if (target->entry().phase == target_phase::serving) {
+            if (!target->leaving()) {
                 targets.push_back({target->id_hash(), std::max(1, target->entry().slots)});
             }
         }
@@ -461,8 +469,8 @@
         service_load_report load;
         load.service = service;
         for (target_state const* const target : targets.local) {
-            bool const leaves = target->entry().phase == target_phase::leaving;
-            if (!leaves && !target->cold(now) && !evacuated_zones_.contains(settings_.zone)) {
+            if (!target->leaving() && !target->cold(now) &&
+                !evacuated_zones_.contains(settings_.zone)) {
                 load.listed += usable_slots(*target);
             }
             if (target->accepts(now) && !target->cold(now) &&
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -1,6 +1,7 @@
 #pragma once
 /** @file State machine that dispatches the requests of an entry host to targets. */
 
+#include "traffic/left_targets.h"
 #include "traffic/object_balance.h"
 #include "traffic/placement.h"
 #include "traffic/refused_requests.h"
@@ -151,6 +152,7 @@
     std::map<target_id, target_state> targets_;
     std::map<service_id, service_targets> targets_by_service_;
     std::unordered_map<std::uint32_t, target_state*> targets_by_hash_; ///< by short hash
+    left_targets left_targets_;
     std::set<std::uint32_t> limited_;          ///< short hashes of targets with a limit to report
     std::vector<std::uint32_t> used_by_peers_; ///< short hashes of targets with requests of peers
     std::uint64_t list_version_ = 1;           ///< incremented by index_targets()
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -39,6 +39,7 @@
 /** What a target says of itself in an answer. */
 struct target_notice {
     std::optional<double> limit; ///< requests per second that it takes from all hosts together
+    bool leaving = false;        ///< it is shutting down
 };
 
 struct attempt_ended {
--- a/tests/traffic/limit_test.cpp
+++ b/tests/traffic/notice_test.cpp
@@ -1,4 +1,4 @@
-/** @file The limit that a target names, divided among the hosts of a zone. */
+/** @file What targets say of themselves, as obeyed by the hosts of a zone. */
 
 #include "traffic/shared_rate.h"
 #include "traffic_fixture.h"
@@ -133,5 +133,28 @@
     EXPECT_GT(arrivals[target_id("t0")], 1.5 * limit * 4 + 5);
 }
 
+TEST(leaving_target, gets_nothing_after_it_is_listed_as_serving_again)
+{
+    traffic_fixture host;
+    host.list(1);
+    host.arrive();
+    auto const sent = host.single<send_attempt>();
+    ASSERT_TRUE(sent);
+    attempt_ended event;
+    event.id = sent->id;
+    event.target = sent->target;
+    event.end = attempt_end::succeeded;
+    event.notice = target_notice{std::nullopt, true};
+    host.feed(event);
+    host.feed(targets_listed{{}});
+    host.list(1);
+    host.arrive();
+    EXPECT_FALSE(host.single<send_attempt>());
+    host.entries[0].incarnation = target_incarnation(2); // it has started again
+    host.feed(targets_changed{host.entries, {}});
+    host.arrive();
+    EXPECT_TRUE(host.single<send_attempt>());
+}
+
 } // namespace
 } // namespace cove
