Leave a target alone for the time that it asks for with 503 and Retry-After

Cause: the field was not read; a target that turns requests away was tried again after 30 ms, and counted as faulty. Change: it gets no request of this host until that time is over, and the refusal counts as overload, not as a fault. A client that is refused because all targets pause is told when the first of them takes requests again.

Before: 198 requests in 2.2 s from three hosts to a target that had asked for 2.5 s.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -19,9 +19,11 @@
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_client_error = 400;
 
+constexpr double ms_per_second = 1000;
+constexpr double max_pause_seconds = 1e6; ///< keeps the conversion to milliseconds in range
+
 std::string format_seconds(milliseconds time)
 {
-    constexpr double ms_per_second = 1000;
     char buffer[32];
     std::snprintf(buffer, sizeof buffer, "%.3f", static_cast<double>(time.count()) / ms_per_second);
     return buffer;
@@ -192,7 +194,15 @@
 
 target_notice request_forwarder::parse_notice(http_response const& response) const
 {
-    return {read_decimal(to_std_string(response[names_.limit])), response[names_.leaving] == "1"};
+    target_notice notice{read_decimal(to_std_string(response[names_.limit])),
+                         response[names_.leaving] == "1"};
+    if (response.result() == http::status::service_unavailable) {
+        double const seconds =
+            read_decimal(to_std_string(response[http::field::retry_after])).value_or(0);
+        notice.pause = milliseconds(
+            static_cast<std::int64_t>(std::min(seconds, max_pause_seconds) * ms_per_second));
+    }
+    return notice;
 }
 
 attempt_end request_forwarder::classify(exchange_result const& result) const
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds max_backoff{1000};
 /// Wait after a refusal, about the time until one of the requests at the target ends.
 constexpr milliseconds refusal_backoff{30};
+constexpr milliseconds max_pause{600'000};  ///< a longer one is taken for a fault of the target
 constexpr milliseconds trial_interval{400}; ///< between trial requests to a silent target
 /// Share of the slots. A target that refuses a request at a lower load is faulty, so the refusal
 /// counts as a failure.
@@ -102,6 +103,11 @@
     return !leaving() && !address_reused_ && now >= resume_at_;
 }
 
+milliseconds target_state::pause_left(mono_time now) const
+{
+    return std::chrono::ceil<milliseconds>(std::max(resume_at_ - now, mono_time::duration{0}));
+}
+
 bool target_state::silent(mono_time now) const
 {
     return std::any_of(running_.begin(), running_.end(), [this, now](auto const& item) {
@@ -219,8 +225,10 @@
     if (event.notice) {
         record_limit(event.notice->limit, now);
         said_leaving_ = said_leaving_ || event.notice->leaving;
+        resume_at_ = std::max(resume_at_, now + std::min(event.notice->pause, max_pause));
     }
     bool const was_busy = load(now) >= busy_share * entry_.slots;
+    bool const asks_for_pause = event.notice && event.notice->pause > milliseconds{0};
     switch (event.end) {
     case attempt_end::succeeded:
         slowness_.add(std::min(time_ratio, max_slowness), now);
@@ -230,7 +238,7 @@
         failure_rate_.add(1, now);
         break;
     case attempt_end::refused:
-        failure_rate_.add(was_busy ? 0 : 1, now);
+        failure_rate_.add(was_busy || asks_for_pause ? 0 : 1, now);
         resume_at_ = std::max(resume_at_, now + refusal_backoff);
         break;
     case attempt_end::wrong_target:
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -76,6 +76,9 @@
     /** @return whether the target can get new requests at all. */
     [[nodiscard]] bool accepts(mono_time now) const;
 
+    /** @return how long the target still wants no requests; zero if it takes them. */
+    [[nodiscard]] milliseconds pause_left(mono_time now) const;
+
     /** @return whether an attempt is overdue and the target has not answered since it was sent. */
     [[nodiscard]] bool silent(mono_time now) const;
 
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -132,6 +132,7 @@
     void wait_or_refuse(pending_request& request, placement_round& round,
                         placement_option const* queued_for);
     void send(pending_request& request, placement_option const& option);
+    [[nodiscard]] milliseconds pause_left(service_id const& service) const;
     void refuse(request_id id, refusal reason, milliseconds until_slot_free);
     void remove_request(request_id id);
     void check_attempt(pending_request& request);
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -40,6 +40,7 @@
 struct target_notice {
     std::optional<double> limit; ///< requests per second that it takes from all hosts together
     bool leaving = false;        ///< it is shutting down
+    milliseconds pause{};        ///< for this long it wants no requests of this host; zero: none
 };
 
 struct attempt_ended {
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -301,8 +301,28 @@
         keep_waiting();
         return;
     }
-    refuse(request.id, round.local.empty() ? refusal::no_target : refusal::no_room,
-           milliseconds(static_cast<std::int64_t>(wait)));
+    if (round.local.empty()) {
+        refuse(request.id, refusal::no_target, pause_left(request.service));
+        return;
+    }
+    refuse(request.id, refusal::no_room, milliseconds(static_cast<std::int64_t>(wait)));
+}
+
+/** @return the time until the first target of this zone that now takes no requests does. */
+milliseconds traffic::pause_left(service_id const& service) const
+{
+    std::optional<milliseconds> shortest;
+    auto const targets = targets_by_service_.find(service);
+    if (targets == targets_by_service_.end()) {
+        return milliseconds{0};
+    }
+    for (target_state const* const target : targets->second.local) {
+        milliseconds const left = target->pause_left(now_);
+        if (!target->leaving() && (!shortest || left < *shortest)) {
+            shortest = left;
+        }
+    }
+    return shortest.value_or(milliseconds{0});
 }
 
 void traffic::send(pending_request& request, placement_option const& option)
