Add failing tests: a target's 503 or 429 that does not say that the request has not run

REFUSED on real processes: something ran that had been refused with a promise. One way that this host can do so: a target that fails with 503 or 429 and its signature, but without the field that says that the request has not run, has its answer passed on, and to the client that status promises that the request never ran.

--- a/tests/host/entry_host_test.cpp
+++ b/tests/host/entry_host_test.cpp
@@ -138,6 +138,18 @@
             true,
             200,
             2},
+        target_case{
+            "unavailable_without_saying_not_run",
+            {response("503 Failed", "Attempt: a1\r\nSignature: s\r\n"), connection_action::keep},
+            false,
+            502,
+            1},
+        target_case{
+            "too_many_without_saying_not_run",
+            {response("429 Failed", "Attempt: a1\r\nSignature: s\r\n"), connection_action::keep},
+            false,
+            502,
+            1},
         target_case{"answer_lost", {"", connection_action::reset}, false, 502, 1},
         target_case{"answer_lost_repeatable", {"", connection_action::reset}, true, 200, 2},
         target_case{
