Give the client 502 for a target's 503 or 429 that does not say that nothing has run

Cause: the status of a failed run was passed on as it came, but 408, 421, 429 and 503 promise a client that the request has not run and never will. Class of fault: a promise passed on that its maker never gave. Change: without the target's own word such an answer counts as broken, so the client gets 502, which promises nothing, and a request that may be repeated is tried elsewhere.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -39,6 +39,13 @@
     return value;
 }
 
+/** @return whether a client takes an answer with @p status as a promise that nothing has run. */
+bool promises_not_run(http::status status)
+{
+    return status == http::status::request_timeout || status == http::status::misdirected_request ||
+           status == http::status::too_many_requests || status == http::status::service_unavailable;
+}
+
 /** @return the number in @p text, 0 or more, without unit; nullopt if it is none. */
 std::optional<double> read_decimal(std::string const& text)
 {
@@ -226,7 +233,8 @@
     unsigned const status = response.result_int();
     bool const success = status >= first_success && status < first_redirect;
     if (!success) {
-        return attempt_end::failed;
+        // Passed on, such a status would tell the client that the request has not run.
+        return promises_not_run(response.result()) ? attempt_end::broken : attempt_end::failed;
     }
     return response.count(http::field::content_encoding) > 0 ? attempt_end::broken
                                                              : attempt_end::succeeded;
