Bound all bytes of an answer: framing, extensions and trailers as well as the body

Cause: the limits counted the head and the body alone, and the buffer in front of the parser had none, so a chunk extension without end was buffered whole.

Many endless bodies at once can still take 4 MB each.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -30,7 +30,7 @@
 
 exchange_connection::exchange_connection(boost::asio::io_context& loop, http_endpoint peer,
                                          exchange_limits limits)
-    : socket_(loop), peer_(std::move(peer)), limits_(limits)
+    : socket_(loop), peer_(std::move(peer)), limits_(limits), buffer_(limits.header_bytes)
 {
 }
 
@@ -41,6 +41,7 @@
     done_ = std::move(done);
     sent_ = false;
     reusable_ = false;
+    received_ = 0;
     if (connected_) {
         send();
         return;
@@ -83,12 +84,28 @@
     if (request_.method() == http::verb::head) {
         parser_->skip(true);
     }
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         if (!self->closed_) {
-                             self->on_response(error);
-                         }
-                     });
+    read_some();
+}
+
+/** Reads until the response is complete; limits all of its bytes, framing and trailers included. */
+void exchange_connection::read_some()
+{
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](error_code error, std::size_t size) {
+                              if (self->closed_) {
+                                  return;
+                              }
+                              self->received_ += size;
+                              if (!error && self->received_ > self->limits_.header_bytes +
+                                                                  self->limits_.body_bytes) {
+                                  error = http::error::body_limit;
+                              }
+                              if (!error && !self->parser_->is_done()) {
+                                  self->read_some();
+                                  return;
+                              }
+                              self->on_response(error);
+                          });
 }
 
 void exchange_connection::on_response(error_code error)
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -37,7 +37,7 @@
 /** Size limits and timeouts of a connection. */
 struct exchange_limits {
     std::uint32_t header_bytes = 64 * 1024; ///< of a response
-    std::uint64_t body_bytes = 16 << 20;    ///< of a response, which is held in memory as a whole
+    std::uint64_t body_bytes = 4 << 20;     ///< of a response, which is held in memory as a whole
     milliseconds tcp_user_timeout{1500};    ///< sent data unacknowledged for this long ends it
 };
 
@@ -86,6 +86,7 @@
 private:
     void send();
     void read();
+    void read_some();
     void on_response(boost::system::error_code error);
     void finish(exchange_result result);
     void parse_keep_alive(http_response const& response);
@@ -93,7 +94,8 @@
     boost::asio::ip::tcp::socket socket_;
     http_endpoint peer_;
     exchange_limits limits_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_; ///< bytes received and not yet parsed
+    std::uint64_t received_ = 0;       ///< bytes since the request was sent
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     http_request request_;
     response_matcher match_;
