Watch from the revision of the list, also if it is lower than before

Cause: a follower kept the highest revision that it had seen. When the store came back from an older copy, the watch from that revision got 410, the list a lower one, and the two alternated without a pause. Change: a list sets the revision to continue from. The test failed before (watch from 40 after a list at 30).

This ends the storm of calls only. The list of targets, the messages between hosts and the host's own record still know one rising revision; a store that goes back is not followed in full.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -92,7 +92,7 @@
     case follow_status::done:
         retry_delays_.reset();
         set_reachable(true, "");
-        at_ = std::max(at_, answer.at);
+        at_ = listed_ ? std::max(at_, answer.at) : answer.at;
         listed_ = true;
         next_list_ = read_freshness::current;
         if (active_) {
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -94,6 +94,18 @@
     EXPECT_EQ(lists, 2);
 }
 
+TEST_F(follower_case, watches_from_the_revision_of_the_list_after_the_store_went_back)
+{
+    subject.set_active(true);
+    subject.start(true);
+    reply(follow_status::done, 40);
+    ASSERT_TRUE(calls_again());
+    reply(follow_status::history_expired); // it came back from an older copy
+    reply(follow_status::done, 30);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_start, revision(30));
+}
+
 TEST_F(follower_case, reports_loss_and_return_of_the_store_once)
 {
     subject.set_active(true);
