--- a/tests/support/zone_case.h
+++ b/tests/support/zone_case.h
@@ -53,11 +53,12 @@
         std::string text = std::to_string(version) + "\n";
         for (unsigned i = 0; i < 2800; ++i) {
             std::string const name = std::to_string(i * 2654435761U);
-            text += R"({"metadata":{"name":"r-)" + name +
-                    R"("},"resource_kind":"routes","spec":{"host":"h)" + name +
-                    R"(.example","kind":"non_idempotent","max_attempts":2,"path_prefix":"/p)" +
-                    name + R"(/","priority":1,"service":"desk","sticky_sessions":false,)" +
-                    R"("target_latency":"250ms","timeout":"1500ms"}})" + "\n";
+            text.append(R"({"metadata":{"name":"r-)").append(name);
+            text.append(R"("},"resource_kind":"routes","spec":{"host":"h)").append(name);
+            text.append(R"(.example","kind":"non_idempotent","max_attempts":2,"path_prefix":"/p)");
+            text.append(name).append(
+                R"(/","priority":1,"service":"desk","sticky_sessions":false,)");
+            text.append(R"("target_latency":"250ms","timeout":"1500ms"}})").append("\n");
         }
         return text;
     }
