--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -95,8 +95,8 @@
     void limit_reported(rate_limit_notice const& reported);
 
     /**
-     * @return the limit for the other hosts of the zone; nullopt if this host has not heard of one
-     * from the target itself, or the limit has ended long ago.
+     * @return what to report to the other hosts of the zone; nullopt if no answer to this host has
+     * named a limit, or the limit ended long ago.
      */
     [[nodiscard]] std::optional<rate_limit_notice> limit_to_report(mono_time now) const;
 
--- a/tests/support/zone_case.h
+++ b/tests/support/zone_case.h
@@ -54,8 +54,9 @@
         for (unsigned i = 0; i < 2800; ++i) {
             std::string const name = std::to_string(i * 2654435761U);
             text.append(R"({"metadata":{"name":"r-)").append(name);
-            text.append(R"("},"resource_kind":"routes","spec":{"host":"h)").append(name);
-            text.append(R"(.example","kind":"non_idempotent","max_attempts":2,"path_prefix":"/p)");
+            text.append(R"("},"kind_of_entry":"route","spec":{"host":"h)").append(name);
+            text.append(
+                R"(.example","kind":"non_idempotent","max_attempts":2,"request_paths":"/p)");
             text.append(name).append(
                 R"(/","priority":1,"service":"desk","sticky_sessions":false,)");
             text.append(R"("target_latency":"250ms","timeout":"1500ms"}})").append("\n");
