Log a fingerprint of each request that fails

The attempt id changes with each copy of a request, so no log line told whether the request under which a target ended is one that has ended others. The fingerprint is a hash of method, host, path with query, client and body; the reducer gets it with the request. No decision uses it yet.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "host/request_forwarder.h"
 
+#include "core/hash_func.h"
 #include "http/forwarding.h"
 
 #include <algorithm>
@@ -57,6 +58,24 @@
     return value;
 }
 
+request_fingerprint fingerprint_of(http_request const& request, std::string const& client)
+{
+    std::uint64_t hash = stable_hash(client);
+    for (auto const part :
+         {request.method_string(), request[http::field::host], request.target()}) {
+        hash = stable_hash({part.data(), part.size()}, hash);
+    }
+    return request_fingerprint(stable_hash(request.body(), hash));
+}
+
+std::string to_hex(request_fingerprint fingerprint)
+{
+    char buffer[32];
+    std::snprintf(buffer, sizeof buffer, "%016llx",
+                  static_cast<unsigned long long>(fingerprint.value));
+    return buffer;
+}
+
 char const* name_of(refusal reason)
 {
     switch (reason) {
@@ -129,12 +148,15 @@
     open.service = round_robin_.next(*route);
     open.arrived = read_clocks().mono;
     auto const deadline = read_int(to_std_string(request[names_.deadline]));
+    std::string const client = server_->client_ip(call);
+    open.fingerprint = fingerprint_of(request, client);
     request_arrived event{request_id(call.value),
                           route,
                           open.service,
                           object_key(to_std_string(request[names_.object])),
-                          server_->client_ip(call),
-                          deadline ? milliseconds(*deadline) : route->timeout};
+                          client,
+                          deadline ? milliseconds(*deadline) : route->timeout,
+                          open.fingerprint};
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
@@ -261,6 +283,7 @@
     if (event.end != attempt_end::succeeded) {
         log_.event("attempt_failed",
                    {{"request", open.attempt_id},
+                    {"fingerprint", to_hex(open.fingerprint)},
                     {"target", attempt.target.value},
                     {"service", attempt.service.value},
                     {"end", std::to_string(static_cast<int>(event.end))},
@@ -304,6 +327,7 @@
     }
     log_.event("answered_by_host",
                {{"request", found->second.attempt_id},
+                {"fingerprint", to_hex(found->second.fingerprint)},
                 {"route", found->second.route->name.value},
                 {"service", found->second.service.value},
                 {"reason", name_of(effect.reason)},
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -61,6 +61,7 @@
     struct open_request {
         http_request message;
         std::string attempt_id;
+        request_fingerprint fingerprint;
         std::shared_ptr<route_config const> route;
         service_id service;
         mono_time arrived;
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -15,6 +15,9 @@
 namespace cove {
 
 using request_id = strong_number<struct request_tag>; ///< identifies a request within this host
+/// Hash of what stays the same when a request is sent again: method, host, path with query, client
+/// and body.
+using request_fingerprint = strong_number<struct request_fingerprint_tag>;
 
 /** A client sent a request that matched a route. */
 struct request_arrived {
@@ -24,6 +27,7 @@
     object_key object;
     std::string client;      ///< client identity, for example its IP address
     milliseconds deadline{}; ///< how long the client waits, from now
+    request_fingerprint fingerprint;
 };
 
 /** How one attempt at a target ended. */
