Send a request under which three targets have ended to no more targets

What callers saw: a request that crashes each target that runs it took down one target after the other; a tenth to a quarter of all other requests failed meanwhile.

Cause: nothing tied the end of a target to the request that ran. Each copy, at whichever host, was a new request, retried at the next target as any other.

The first log line of the block names three targets and the hosts that saw them end.

Why it works: after a connection is lost, the host tests whether the address refuses new ones. If so, the target has ended, and all requests that broke with it are suspects. A suspect is retried where no other suspect runs, so that the innocent ones are completed, which acquits them; under the guilty one a second and third incarnation end. Then all copies are answered 502, running copies that may be repeated are stopped. Records are sent to all hosts at once, merge in any order, and are repeated to one host a second and to hosts that start.

--- a/src/emulator/zone_emulator.cpp
+++ b/src/emulator/zone_emulator.cpp
@@ -1,5 +1,7 @@
 #include "emulator/zone_emulator.h"
 
+#include "core/hash_func.h"
+
 namespace cove {
 
 namespace {
@@ -144,7 +146,8 @@
         auto const left = request.first_asked + request.type->client_timeout - scheduler_.now();
         feed(request.host,
              request_arrived{id, request.route, service_, object_key(request.object),
-                             request.client, std::chrono::duration_cast<milliseconds>(left)});
+                             request.client, std::chrono::duration_cast<milliseconds>(left),
+                             request_fingerprint(stable_hash(request.client + request.object))});
     });
 }
 
@@ -198,6 +201,15 @@
     finish(request, false);
 }
 
+void zone_emulator::execute(report_crashes const& effect)
+{
+    for (std::size_t host = 0; host < hosts_.size(); ++host) {
+        scheduler_.after(network_delay, [this, host, records = effect.records] {
+            feed(host, crashes_reported{records});
+        });
+    }
+}
+
 void zone_emulator::finish(client_request const& request, bool served)
 {
     auto const time = scheduler_.now() + client_delay - request.first_asked;
--- a/src/emulator/zone_emulator.h
+++ b/src/emulator/zone_emulator.h
@@ -92,6 +92,8 @@
     void execute(cancel_attempt const& effect);
     void execute(deliver_answer const& effect);
     void execute(answer_locally const& effect);
+    void execute(report_crashes const& effect);
+    void execute(log_blocked_request const& /*effect*/) {}
     void report_in_flight();
     void every(milliseconds interval, std::function<void()> const& fn);
     void finish(client_request const& request, bool served);
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -39,6 +39,7 @@
 constexpr milliseconds exit_check_interval{20};
 /// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
 /// well.
+constexpr std::size_t max_crash_records = 10'000; ///< more than a host keeps
 constexpr double bulk_answer_bytes_per_second = 400'000;
 
 std::uint64_t random_seed()
@@ -65,11 +66,10 @@
 
 traffic_settings make_traffic_settings(host_settings const& settings)
 {
-    return {node_id(settings.name),
-            zone_id(settings.zone),
-            settings.regions,
-            {settings.retry_ratio, settings.retry_window, settings.retry_slack},
-            settings.shift_cap};
+    return {
+        node_id(settings.name), zone_id(settings.zone),
+        settings.regions,       {settings.retry_ratio, settings.retry_window, settings.retry_slack},
+        settings.shift_cap,     settings.crash_retention};
 }
 
 milliseconds fraction_of(milliseconds whole, double fraction)
@@ -110,11 +110,13 @@
       target_follower_(timers, store_.targets, random_seed()),
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
-      bulk_answers_(bulk_answer_bytes_per_second),
+      bulk_answers_(bulk_answer_bytes_per_second), random_(random_seed()),
       shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
       started_(read_clocks().mono), quota_division_(node_id(settings_.name))
 {
     forwarder_.attach(clients_);
+    forwarder_.on_crashes(
+        [this](std::vector<crash_record> const& records) { spread_crashes(records); });
 }
 
 store_hooks entry_host::hooks()
@@ -284,7 +286,7 @@
     });
 }
 
-/** Applies the settings that may change while the host runs: seeds and grace. */
+/** Applies the settings that may change while the host runs: seeds, grace, crash retention. */
 void entry_host::reload()
 {
     auto const reloaded = reload_settings_();
@@ -299,6 +301,8 @@
     }
     settings_.seeds = reloaded->seeds;
     settings_.grace = reloaded->grace;
+    settings_.crash_retention = reloaded->crash_retention;
+    forwarder_.set_crash_retention(settings_.crash_retention);
     log_event("settings_taken", {{"seeds", std::to_string(reloaded->seeds.size())}});
 }
 
@@ -496,6 +500,9 @@
     gauge("follows_store", follows_store_ ? 1 : 0);
     gauge("store_lost", store_lost() ? 1 : 0);
     gauge("log_lines_left_out", log_.dropped());
+    gauge("suspected_requests", forwarder_.crashes(max_crash_records).size());
+    out += "# TYPE cove_blocked_requests counter\ncove_blocked_requests " +
+           std::to_string(forwarder_.blocked_requests()) + "\n";
     out += "# TYPE cove_bytes_to_peers counter\n";
     for (auto const& [kind, bytes] : bytes_to_peers_) {
         out += "cove_bytes_to_peers{message=\"" + kind + "\"} " + std::to_string(bytes) + "\n";
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -71,6 +71,9 @@
     void on(pull_request const& message);
     void on(host_snapshot const& message);
     void on(target_changes const& message);
+    void on(crash_report const& message);
+    void spread_crashes(std::vector<crash_record> const& records);
+    void repeat_crashes(mono_time now);
     bool apply(target_changes const& message);
     void apply(packed_config const& received);
     void relay_config(packed_config const& config, std::vector<std::string> const& receivers);
@@ -121,6 +124,9 @@
     std::optional<packed_config> config_; ///< the active configuration
     bool config_push_pending_ = false;
     byte_budget bulk_answers_;
+    random_engine random_;
+    std::vector<crash_record> crashes_to_report_; ///< gathered for one message
+    mono_time next_crash_repeat_{};
     bool targets_known_ = false;
     share_limiter shares_;
     std::map<std::string, std::uint64_t> bytes_to_peers_; ///< sent so far, by kind of message
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -24,6 +24,12 @@
 
 /// Time that a configuration takes from the first follower of a zone to all hosts of the zone.
 constexpr milliseconds standby_push_delay{500};
+/// A target that ends breaks all its requests at once; one message tells of all of them.
+constexpr milliseconds crash_report_delay{10};
+/// Repeats reach hosts that missed a report: one host each time, with the worst records.
+constexpr milliseconds crash_repeat_interval{1000};
+constexpr std::size_t repeated_crash_records = 32; ///< 4 KB
+
 constexpr std::size_t max_config_bytes = 16U << 20U; ///< the store limits an object to less
 constexpr std::size_t target_entry_bytes = 100;      ///< of an encoded entry, about
 
@@ -37,7 +43,7 @@
 char const* kind_of(host_message const& message)
 {
     constexpr std::array<char const*, std::variant_size_v<host_message>> kinds{
-        "gossip", "pull_request", "snapshot", "target_changes"};
+        "gossip", "pull_request", "snapshot", "target_changes", "crash_report"};
     return kinds.at(message.index());
 }
 
@@ -71,6 +77,7 @@
     report_peers(now);
     update_store_following(now);
     pull_if_behind(now);
+    repeat_crashes(now);
 }
 
 /** Derives what depends only on the list of serving hosts, when that list has changed. */
@@ -182,6 +189,60 @@
 void entry_host::on(gossip const& message)
 {
     send(view_.receive(message, read_clocks().mono));
+    if (!message.answer_wanted) {
+        return;
+    }
+    if (auto records = forwarder_.crashes(repeated_crash_records); !records.empty()) {
+        transmit({message.sender_ip}, crash_report{std::move(records), false});
+    }
+}
+
+void entry_host::on(crash_report const& message)
+{
+    forwarder_.merge_crashes(message.records);
+    if (message.pass_on) {
+        push_to_zone(crash_report{message.records, false});
+    }
+}
+
+/** Reports ended targets to this zone and to one host of each other zone, which passes it on. */
+void entry_host::spread_crashes(std::vector<crash_record> const& records)
+{
+    bool const scheduled = !crashes_to_report_.empty();
+    crashes_to_report_.insert(crashes_to_report_.end(), records.begin(), records.end());
+    if (scheduled) {
+        return;
+    }
+    timers_.once(read_clocks().mono + crash_report_delay, [this] {
+        crash_report report{std::exchange(crashes_to_report_, {}), false};
+        push_to_zone(report);
+        report.pass_on = true;
+        std::vector<std::string> speakers;
+        for (zone_status const& zone : view_.zones(read_clocks().mono)) {
+            if (zone.zone != zone_id(settings_.zone)) {
+                speakers.push_back(zone.ip);
+            }
+        }
+        transmit(speakers, report);
+    });
+}
+
+/** Sends the worst records to one host, drawn among the serving hosts of all zones. */
+void entry_host::repeat_crashes(mono_time now)
+{
+    if (now < next_crash_repeat_) {
+        return;
+    }
+    next_crash_repeat_ = now + crash_repeat_interval;
+    auto const& hosts = view_.serving(now);
+    auto records = forwarder_.crashes(repeated_crash_records);
+    if (records.empty() || hosts.empty()) {
+        return;
+    }
+    roster_host const& receiver = hosts[random_below(random_, hosts.size())];
+    if (receiver.name != node_id(settings_.name)) {
+        transmit({receiver.ip}, crash_report{std::move(records), false});
+    }
 }
 
 void entry_host::on(pull_request const& message)
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -52,6 +52,9 @@
                 "retries allowed on top of the ratio, over all hosts")
         .number("shift_cap", &s::shift_cap,
                 "share of a region's traffic that may move to other regions within 2 s")
+        .duration("crash_retention", &s::crash_retention,
+                  "time for which a request that ended targets stays blocked; 0s: not blocked")
+        .optional()
         .flag("first_start", &s::first_start,
               "whether all hosts start together, before any client traffic");
     return table;
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -32,6 +32,8 @@
     milliseconds retry_window{};
     double retry_slack = 0;
     double shift_cap = 1;
+    /// How long requests that end targets stay blocked; zero: they are not blocked.
+    milliseconds crash_retention{600'000};
     bool first_start = false; ///< all hosts start together, before any client traffic
 };
 
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -87,6 +87,8 @@
         return "gave_up";
     case refusal::lost_answer:
         return "lost_answer";
+    case refusal::blocked:
+        return "blocked";
     }
     return "unknown";
 }
@@ -97,6 +99,7 @@
     case refusal::gave_up:
         return http::status::gateway_timeout;
     case refusal::lost_answer:
+    case refusal::blocked: // 503 would invite the client to send it again
         return http::status::bad_gateway;
     default:
         return http::status::service_unavailable;
@@ -293,7 +296,14 @@
                    read_clocks().mono);
     }
     open.response = std::move(result.response);
-    feed(event);
+    if (!result.connection_lost) {
+        feed(event);
+        return;
+    }
+    pool_.probe(attempt.target, attempt.address, [this, event](bool refused) mutable {
+        event.target_ended = refused;
+        feed(event);
+    });
 }
 
 void request_forwarder::execute(cancel_attempt const& effect)
@@ -336,12 +346,32 @@
                 {"come_back_ms", std::to_string(effect.retry_after.count())}},
                read_clocks().mono);
     record_outcome(found->second, name_of(effect.reason));
+    blocked_requests_ += effect.reason == refusal::blocked ? 1 : 0;
     open_.erase(found);
     bool const not_run = effect.reason == refusal::no_room || effect.reason == refusal::no_target;
     respond(call_id(effect.id.value), status_of(effect.reason),
             not_run ? effect.retry_after : milliseconds{0});
 }
 
+void request_forwarder::execute(report_crashes const& effect)
+{
+    if (report_crashes_) {
+        report_crashes_(effect.records);
+    }
+}
+
+void request_forwarder::execute(log_blocked_request const& effect)
+{
+    std::string ends;
+    for (target_end const& end : effect.record.ends) {
+        ends += (ends.empty() ? "" : ",") + end.target.value + "/" +
+                std::to_string(end.incarnation.value) + "@" + end.observer.value;
+    }
+    log_.event("request_blocked",
+               {{"fingerprint", to_hex(effect.record.fingerprint)}, {"ended", ends}},
+               read_clocks().mono);
+}
+
 void request_forwarder::respond(call_id call, http::status status, milliseconds retry_after)
 {
     http_response response(status, http_version);
@@ -392,6 +422,21 @@
     feed(peers);
 }
 
+void request_forwarder::set_crash_retention(milliseconds retention)
+{
+    feed(crash_retention_changed{retention});
+}
+
+void request_forwarder::merge_crashes(std::vector<crash_record> const& records)
+{
+    feed(crashes_reported{records});
+}
+
+std::vector<crash_record> request_forwarder::crashes(std::size_t limit) const
+{
+    return traffic_.crashes(limit, read_clocks().mono);
+}
+
 std::vector<service_load_report> request_forwarder::loads() const
 {
     return traffic_.loads(read_clocks().mono);
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -37,6 +37,12 @@
     request_forwarder(request_forwarder&&) = delete;
     request_forwarder& operator=(request_forwarder&&) = delete;
 
+    /** @param report sends records of ended targets to the other hosts. */
+    void on_crashes(std::function<void(std::vector<crash_record> const&)> report)
+    {
+        report_crashes_ = std::move(report);
+    }
+
     /** @param server that responses are sent through; must outlive this. */
     void attach(http_server& server) { server_ = &server; }
 
@@ -48,11 +54,15 @@
     void change_targets(targets_changed const& changes);
     void set_evacuations(std::set<zone_id> const& zones);
     void set_peers(peers_reported const& peers);
+    void set_crash_retention(milliseconds retention);
+    void merge_crashes(std::vector<crash_record> const& records);
 
     [[nodiscard]] std::vector<service_load_report> loads() const;
     [[nodiscard]] std::map<std::uint32_t, int> in_flight_by_target() const;
     [[nodiscard]] std::map<std::uint32_t, rate_limit_notice> limits() const;
     [[nodiscard]] std::vector<service_objects> announcements(milliseconds window) const;
+    [[nodiscard]] std::vector<crash_record> crashes(std::size_t limit) const;
+    [[nodiscard]] std::uint64_t blocked_requests() const { return blocked_requests_; }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] route_table const* routes() const { return routes_.get(); }
     [[nodiscard]] latency_metrics const& metrics() const { return metrics_; }
@@ -74,6 +84,8 @@
     void execute(cancel_attempt const& effect);
     void execute(deliver_answer const& effect);
     void execute(answer_locally const& effect);
+    void execute(report_crashes const& effect);
+    void execute(log_blocked_request const& effect);
     void on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
                          exchange_result result);
     void respond(call_id call, boost::beast::http::status status, milliseconds retry_after);
@@ -95,6 +107,8 @@
     latency_metrics metrics_;
     http_server* server_ = nullptr;
     loop_timers::subscription tick_ = 0;
+    std::function<void(std::vector<crash_record> const&)> report_crashes_;
+    std::uint64_t blocked_requests_ = 0; ///< answered as blocked so far
 };
 
 } // namespace cove
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -14,6 +14,8 @@
 /// carry a request that must not run twice.
 constexpr double safe_idle_fraction = 0.5;
 constexpr milliseconds sweep_interval{1000};
+/// A few round trips between regions; the retry of the request waits for it.
+constexpr milliseconds probe_timeout{250};
 
 milliseconds idle_limit(exchange_connection const& connection)
 {
@@ -67,6 +69,27 @@
     idle_[target].push_back(std::move(released));
 }
 
+void target_connection_pool::probe(target_id const& target, std::string const& address,
+                                   std::function<void(bool refused)> done)
+{
+    auto const tested =
+        std::make_shared<exchange_connection>(loop_, endpoint_of(address), exchange_limits{});
+    auto const timeout = timers_.once(read_clocks().mono + probe_timeout, [tested, done] {
+        tested->close();
+        done(false);
+    });
+    tested->connect([this, target, tested, timeout, done](boost::system::error_code error) {
+        timers_.cancel(timeout);
+        if (error) {
+            tested->close();
+        }
+        else {
+            release(target, tested);
+        }
+        done(error == boost::asio::error::connection_refused);
+    });
+}
+
 void target_connection_pool::keep_only(std::set<target_id> const& targets)
 {
     std::erase_if(idle_, [&targets](auto const& item) {
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -5,6 +5,7 @@
 #include "http/loop_timers.h"
 #include "traffic/target_type.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -36,6 +37,14 @@
     /** Returns a connection to the pool, or closes it if it cannot be used for another request. */
     void release(target_id const& target, connection released);
 
+    /**
+     * Tests whether a target still takes connections; one that is established is kept for reuse.
+     * @param done called once, with whether the address refuses connections. No reply in time does
+     * not count as a refusal.
+     */
+    void probe(target_id const& target, std::string const& address,
+               std::function<void(bool refused)> done);
+
     /** Closes the connections to targets that are not in @p targets. */
     void keep_only(std::set<target_id> const& targets);
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -46,26 +46,40 @@
         send();
         return;
     }
-    connect_started_ = read_clocks().mono;
-    socket_.async_connect(peer_, [self = shared_from_this()](error_code error) {
-        if (self->closed_) {
-            return;
-        }
+    connect([self = shared_from_this()](error_code error) {
         if (error) {
             self->finish({exchange_outcome::connect_failed, {}, error.message()});
             return;
         }
-        self->connect_time_ = read_clocks().mono - self->connect_started_;
-        error_code ignored; // both options only save time; a dead socket fails on write
-        self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        unsigned const timeout = static_cast<unsigned>(self->limits_.tcp_user_timeout.count());
-        ::setsockopt(self->socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-                     sizeof timeout);
-        self->connected_ = true;
+        self->reusable_ = false;
         self->send();
     });
 }
 
+void exchange_connection::connect(connect_handler done)
+{
+    connect_started_ = read_clocks().mono;
+    socket_.async_connect(
+        peer_, [self = shared_from_this(), done = std::move(done)](error_code error) {
+            if (self->closed_) {
+                return;
+            }
+            if (error) {
+                done(error);
+                return;
+            }
+            self->connect_time_ = read_clocks().mono - self->connect_started_;
+            error_code ignored; // both options only save time; a dead socket fails on write
+            self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            unsigned const timeout = static_cast<unsigned>(self->limits_.tcp_user_timeout.count());
+            ::setsockopt(self->socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                         sizeof timeout);
+            self->connected_ = true;
+            self->reusable_ = true;
+            done(error);
+        });
+}
+
 void exchange_connection::send()
 {
     http::async_write(socket_, request_,
@@ -111,7 +125,10 @@
 void exchange_connection::on_response(error_code error)
 {
     if (error) {
-        finish({exchange_outcome::broken, {}, error.message()});
+        bool const cut_short =
+            error == http::error::end_of_stream || error == http::error::partial_message;
+        bool const invalid = error.category() == make_error_code(http::error::bad_value).category();
+        finish({exchange_outcome::broken, {}, error.message(), cut_short || !invalid});
         return;
     }
     bool const keep_alive = parser_->get().keep_alive();
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -26,6 +26,8 @@
     exchange_outcome outcome = exchange_outcome::broken;
     http_response response; ///< complete if answered, else empty
     std::string detail;     ///< reason of a failure, for the log
+    /// The connection ended before the whole answer, as opposed to an invalid answer.
+    bool connection_lost = false;
 };
 
 /** Whether a response belongs to the request that was sent last. */
@@ -54,6 +56,7 @@
 class exchange_connection : public std::enable_shared_from_this<exchange_connection> {
 public:
     using handler = std::function<void(exchange_result)>;
+    using connect_handler = std::function<void(boost::system::error_code)>;
     using response_matcher = std::function<response_match(http_response const&)>;
 
     exchange_connection(boost::asio::io_context& loop, http_endpoint peer, exchange_limits limits);
@@ -66,6 +69,9 @@
      */
     void exchange(http_request request, response_matcher match, handler done);
 
+    /** Establishes the connection without a request. @param done as in exchange(). */
+    void connect(connect_handler done);
+
     /** Closes the connection and aborts the request in progress. */
     void close();
 
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -238,6 +238,39 @@
     }
 }
 
+void write(wire::HostEnvelope& out, crash_report const& message)
+{
+    auto* const body = out.mutable_crash_report();
+    body->set_pass_on(message.pass_on);
+    for (crash_record const& record : message.records) {
+        auto* const item = body->add_records();
+        item->set_fingerprint(record.fingerprint.value);
+        item->set_age_ms(static_cast<std::uint32_t>(record.age.count()));
+        for (target_end const& end : record.ends) {
+            auto* const entry = item->add_ends();
+            entry->set_target(end.target.value);
+            entry->set_incarnation(end.incarnation.value);
+            entry->set_observer(end.observer.value);
+            entry->set_acquitted(end.acquitted);
+        }
+    }
+}
+
+crash_report read(wire::CrashReport const& in)
+{
+    crash_report message{{}, in.pass_on()};
+    for (wire::CrashRecord const& item : in.records()) {
+        crash_record record{
+            request_fingerprint(item.fingerprint()), {}, milliseconds(item.age_ms())};
+        for (wire::TargetEnd const& end : item.ends()) {
+            record.ends.push_back({target_id(end.target()), target_incarnation(end.incarnation()),
+                                   node_id(end.observer()), end.acquitted()});
+        }
+        message.records.push_back(std::move(record));
+    }
+    return message;
+}
+
 target_changes read(wire::TargetChanges const& in)
 {
     target_changes message{revision(in.from_revision()), revision(in.to_revision()), {}};
@@ -316,6 +349,8 @@
         return host_message(read(envelope.snapshot()));
     case wire::HostEnvelope::kTargetChanges:
         return host_message(read(envelope.target_changes()));
+    case wire::HostEnvelope::kCrashReport:
+        return host_message(read(envelope.crash_report()));
     default:
         return fail("peer.decode", peer, "entry host message without a known body");
     }
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "core/ids_type.h"
 #include "follow/known_versions_type.h"
+#include "traffic/crash_type.h"
 
 #include <optional>
 #include <set>
@@ -125,7 +126,14 @@
     std::vector<target_change> changes;
 };
 
-using host_message = std::variant<gossip, pull_request, host_snapshot, target_changes>;
+/** Requests under which targets have ended. */
+struct crash_report {
+    std::vector<crash_record> records;
+    bool pass_on = false; ///< the receiver passes it on to the other hosts of its zone
+};
+
+using host_message =
+    std::variant<gossip, pull_request, host_snapshot, target_changes, crash_report>;
 
 /** @return the serialized @p message. */
 std::string encode_host_message(host_message const& message);
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -215,6 +215,14 @@
     }
 }
 
+/** Leaves the target alone for a while, longer with each call, as it takes no connections. */
+void target_state::back_off(milliseconds cold_period, mono_time now)
+{
+    backoff_ = std::clamp(backoff_ * 2, initial_backoff, max_backoff);
+    resume_at_ = now + backoff_;
+    assume_cold(cold_period + backoff_, now); // it may have restarted under the same id
+}
+
 void target_state::attempt_ended(cove::attempt_ended const& event, double time_ratio,
                                  milliseconds cold_period, mono_time now)
 {
@@ -227,6 +235,11 @@
         said_leaving_ = said_leaving_ || event.notice->leaving;
         resume_at_ = std::max(resume_at_, now + std::min(event.notice->pause, max_pause));
     }
+    if (event.target_ended) {
+        failure_rate_.add(1, now);
+        back_off(cold_period, now);
+        return;
+    }
     bool const was_busy = load(now) >= busy_share * entry_.slots;
     bool const asks_for_pause = event.notice && event.notice->pause > milliseconds{0};
     switch (event.end) {
@@ -248,9 +261,7 @@
         failure_rate_.add(1, now);
         break;
     case attempt_end::not_connected:
-        backoff_ = std::clamp(backoff_ * 2, initial_backoff, max_backoff);
-        resume_at_ = now + backoff_;
-        assume_cold(cold_period + backoff_, now); // it may have restarted under the same id
+        back_off(cold_period, now);
         return;
     }
     last_answer_ = now;
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -140,6 +140,7 @@
     void attempt_cancelled(request_id id) { running_.erase(id); }
 
 private:
+    void back_off(milliseconds cold_period, mono_time now);
     void record_load(target_load const& load, mono_time now);
     void record_limit(std::optional<double> limit, mono_time now);
 
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -21,8 +21,9 @@
 } // namespace
 
 traffic::traffic(traffic_settings settings)
-    : settings_(std::move(settings)), retry_limiter_(settings_.retry_limits),
-      sent_(cross_region_window), sent_cross_region_(cross_region_window)
+    : settings_(std::move(settings)), crashes_(settings_.crash_retention),
+      retry_limiter_(settings_.retry_limits), sent_(cross_region_window),
+      sent_cross_region_(cross_region_window)
 {
 }
 
@@ -31,6 +32,9 @@
     now_ = now;
     effects_.clear();
     std::visit([this](auto const& concrete) { on(concrete); }, event);
+    if (auto changes = crashes_.take_changes(now_); !changes.empty()) {
+        effects_.emplace_back(std::in_place_type<report_crashes>, std::move(changes));
+    }
     return std::move(effects_);
 }
 
@@ -45,10 +49,16 @@
     request.expires = now_ + std::min(event.deadline, event.route->timeout);
     request.deadline = now_ + event.deadline;
     request.client = event.client;
+    request.fingerprint = event.fingerprint;
     if (auto const first_arrived = refused_requests_.take(identity_of(request), now_)) {
         request.is_client_retry = true;
         request.elapsed_before = now_ - *first_arrived;
     }
+    if (crashes_.blocked(event.fingerprint, now_)) {
+        requests_.emplace(event.id, std::move(request));
+        refuse(event.id, refusal::blocked, milliseconds{0});
+        return;
+    }
     retry_limiter_.add_request(event.service, now_);
     if (event.route->sticky && !event.object.value.empty()) {
         object_balances_[event.service].use(short_hash(event.object), now_);
@@ -68,6 +78,7 @@
     pending_request& request = found->second;
     service_id const service = request.service;
     record_outcome(request, event);
+    note_crash(request, event);
     request.target.reset();
     request.tried.insert(event.target);
     if (event.end == attempt_end::succeeded || request.client_disconnected) {
@@ -77,9 +88,56 @@
     else {
         after_failure(request, event);
     }
+    refuse_blocked();
     dispatch_queue(service);
 }
 
+/** Records that the target ended while it ran @p request, or that the request was completed. */
+void traffic::note_crash(pending_request const& request, attempt_ended const& event)
+{
+    if (event.end == attempt_end::succeeded) {
+        crashes_.note_completed(request.fingerprint);
+        return;
+    }
+    auto const target = targets_.find(event.target);
+    if (event.end == attempt_end::broken && event.target_ended && target != targets_.end()) {
+        crashes_.note_end(request.fingerprint,
+                          {event.target, target->second.entry().incarnation, settings_.host}, now_);
+    }
+}
+
+/** Ends the open requests that have become blocked; a run is cancelled if it may be repeated. */
+void traffic::refuse_blocked()
+{
+    for (crash_record const& record : crashes_.take_blocked(now_)) {
+        effects_.emplace_back(std::in_place_type<log_blocked_request>, record);
+        std::vector<request_id> open;
+        for (auto const& [id, request] : requests_) {
+            bool const stoppable = !request.target || request.route->idempotent;
+            if (request.fingerprint == record.fingerprint && stoppable) {
+                open.push_back(id);
+            }
+        }
+        for (request_id const& id : open) {
+            if (requests_.at(id).target) {
+                effects_.push_back(cancel_attempt{id});
+            }
+            refuse(id, refusal::blocked, milliseconds{0});
+        }
+    }
+}
+
+void traffic::on(crashes_reported const& event)
+{
+    crashes_.merge(event.records, now_);
+    refuse_blocked();
+}
+
+void traffic::on(crash_retention_changed const& event)
+{
+    crashes_.set_retention(event.retention, now_);
+}
+
 void traffic::after_failure(pending_request& request, attempt_ended const& event)
 {
     bool const not_run = event.end == attempt_end::refused ||
@@ -89,6 +147,10 @@
         --request.attempts; // nothing reached the target
     }
     request.may_have_run = request.may_have_run || !not_run;
+    if (crashes_.blocked(request.fingerprint, now_)) {
+        refuse(request.id, refusal::blocked, milliseconds{0});
+        return;
+    }
     if ((not_run || request.route->idempotent) && retry(request)) {
         return;
     }
@@ -418,7 +480,8 @@
 void traffic::refuse(request_id id, refusal reason, milliseconds until_slot_free)
 {
     pending_request const& request = requests_.at(id);
-    if (request.may_have_run && reason != refusal::gave_up) {
+    bool const claims_not_run = reason == refusal::no_room || reason == refusal::no_target;
+    if (request.may_have_run && claims_not_run) {
         reason = refusal::lost_answer;
     }
     auto const left = std::chrono::duration_cast<milliseconds>(request.expires - now_);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -1,6 +1,7 @@
 #pragma once
 /** @file State machine that dispatches the requests of an entry host to targets. */
 
+#include "traffic/crash_table.h"
 #include "traffic/left_targets.h"
 #include "traffic/object_balance.h"
 #include "traffic/placement.h"
@@ -24,6 +25,7 @@
     retry_limiter_settings retry_limits;
     /// Share of a region's requests that may change region within cross_region_window.
     double shift_cap = 1;
+    milliseconds crash_retention{}; ///< how long requests that end targets stay blocked
 };
 
 /** A request that is queued or in progress. */
@@ -37,6 +39,7 @@
     microseconds elapsed_before{}; ///< if a client retry: time since the first try arrived
     mono_time deadline;            ///< deadline of the client
     std::string client;
+    request_fingerprint fingerprint;
     int attempts = 0;
     bool is_client_retry = false; ///< the client retries after a refusal
     bool may_have_run = false;
@@ -98,6 +101,12 @@
     [[nodiscard]] std::vector<service_objects> announcements(milliseconds window,
                                                              mono_time now) const;
 
+    /** @return the requests under which most targets have ended, at most @p limit. */
+    [[nodiscard]] std::vector<crash_record> crashes(std::size_t limit, mono_time now) const
+    {
+        return crashes_.worst(limit, now);
+    }
+
     /** @return number of requests that are queued or in progress. */
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
 
@@ -110,6 +119,8 @@
     void on(evacuations_listed const& event);
     void on(services_listed const& event);
     void on(peers_reported const& event);
+    void on(crashes_reported const& event);
+    void on(crash_retention_changed const& event);
     void on(timer_tick const& event);
 
     bool put_target(target_entry const& entry);
@@ -118,6 +129,10 @@
     void balance_objects();
     void record_outcome(pending_request const& request, attempt_ended const& event);
     void after_failure(pending_request& request, attempt_ended const& event);
+    void note_crash(pending_request const& request, attempt_ended const& event);
+    void refuse_blocked();
+    void keep_suspects_apart(pending_request const& request,
+                             std::vector<placement_option>& options) const;
     bool retry(pending_request& request);
     void dispatch_queue(service_id const& service);
     placement_round begin_round(service_id const& service,
@@ -162,6 +177,7 @@
     std::map<request_id, pending_request> requests_;
     std::map<service_id, std::vector<request_id>> queues_;
     refused_requests refused_requests_;
+    crash_table crashes_;
     std::map<std::pair<zone_id, service_id>, int> remote_quotas_;
     std::map<zone_id, moving_mean> rtt_ms_; ///< round-trip time, from connection times
     std::map<service_id, warm_window> warm_windows_;
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -33,6 +33,7 @@
     no_target,   ///< not run and will not be; no target is available here
     gave_up,     ///< may have run; the time limit has passed
     lost_answer, ///< may have run; the answer of the target was lost
+    blocked,     ///< targets that ran the request have ended; it is sent to no more of them
 };
 
 /** Answer the client without an answer of a target. */
@@ -45,7 +46,18 @@
     milliseconds elapsed{}; ///< time since the request arrived, for the log
 };
 
-using traffic_effect = std::variant<send_attempt, cancel_attempt, deliver_answer, answer_locally>;
+/** Report to all other hosts under which requests targets have ended. */
+struct report_crashes {
+    std::vector<crash_record> records;
+};
+
+/** Log that a request is blocked from now on. */
+struct log_blocked_request {
+    crash_record record;
+};
+
+using traffic_effect = std::variant<send_attempt, cancel_attempt, deliver_answer, answer_locally,
+                                    report_crashes, log_blocked_request>;
 using traffic_effects = std::vector<traffic_effect>;
 
 } // namespace cove
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -3,6 +3,7 @@
 
 #include "core/strong_type.h"
 #include "route/route_type.h"
+#include "traffic/crash_type.h"
 #include "traffic/target_type.h"
 
 #include <map>
@@ -15,9 +16,6 @@
 namespace cove {
 
 using request_id = strong_number<struct request_tag>; ///< identifies a request within this host
-/// Hash of what stays the same when a request is sent again: method, host, path with query, client
-/// and body.
-using request_fingerprint = strong_number<struct request_fingerprint_tag>;
 
 /** A client sent a request that matched a route. */
 struct request_arrived {
@@ -27,7 +25,7 @@
     object_key object;
     std::string client;      ///< client identity, for example its IP address
     milliseconds deadline{}; ///< how long the client waits, from now
-    request_fingerprint fingerprint;
+    request_fingerprint fingerprint{};
 };
 
 /** How one attempt at a target ended. */
@@ -54,6 +52,8 @@
     std::optional<target_load> load;
     std::optional<target_notice> notice; ///< present if an answer arrived
     microseconds connect_time{};         ///< zero on a reused connection
+    /// Only if broken: the address of the target refuses connections, so it has ended.
+    bool target_ended = false;
 };
 
 /** The client disconnected and no longer waits for the answer. */
@@ -104,11 +104,22 @@
     std::vector<service_objects> objects;
 };
 
+/** Requests under which targets have ended, as reported by another host. */
+struct crashes_reported {
+    std::vector<crash_record> records;
+};
+
+/** How long a request under which targets have ended is remembered; zero: not at all. */
+struct crash_retention_changed {
+    milliseconds retention{};
+};
+
 /** Periodic tick: re-examines queued and running requests. */
 struct timer_tick {};
 
 using traffic_event =
     std::variant<request_arrived, attempt_ended, client_disconnected, targets_listed,
-                 targets_changed, evacuations_listed, services_listed, peers_reported, timer_tick>;
+                 targets_changed, evacuations_listed, services_listed, peers_reported,
+                 crashes_reported, crash_retention_changed, timer_tick>;
 
 } // namespace cove
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -200,9 +200,40 @@
     if (std::any_of(options.begin(), options.end(), untried)) {
         std::erase_if(options, [&](auto const& option) { return !untried(option); });
     }
+    if (crashes_.suspected(request.fingerprint, now_)) {
+        keep_suspects_apart(request, options);
+    }
     return options;
 }
 
+/**
+ * Leaves the targets that run no other suspect and orders them by a hash of the request, so that
+ * requests that were beside a fatal one do not follow it to the next target.
+ */
+void traffic::keep_suspects_apart(pending_request const& request,
+                                  std::vector<placement_option>& options) const
+{
+    std::set<target_id> with_suspect;
+    for (auto const& [id, other] : requests_) {
+        if (other.target && id != request.id && crashes_.suspected(other.fingerprint, now_)) {
+            with_suspect.insert(*other.target);
+        }
+    }
+    auto const free = [&](placement_option const& option) {
+        return !with_suspect.contains(option.candidate->target->entry().id) &&
+               !option.candidate->full();
+    };
+    if (std::none_of(options.begin(), options.end(), free)) {
+        return;
+    }
+    std::erase_if(options, [&](placement_option const& option) { return !free(option); });
+    auto const order = [&](placement_option const& option) {
+        return stable_hash(option.candidate->target->id_hash(), request.fingerprint.value);
+    };
+    std::sort(options.begin(), options.end(),
+              [&](auto const& a, auto const& b) { return order(a) < order(b); });
+}
+
 std::vector<placement_option> traffic::local_options(pending_request& request,
                                                      placement_round& round)
 {
--- a/tests/peer/peer_view_test.cpp
+++ b/tests/peer/peer_view_test.cpp
@@ -342,5 +342,28 @@
     }
 }
 
+TEST(host_message, crash_reports_survive_encoding)
+{
+    crash_record const record{request_fingerprint(0xfedcba9876543210),
+                              {{target_id("t0"), target_incarnation(7), node_id("h1"), true},
+                               {target_id("t1"), target_incarnation(-1), node_id("h2"), false}},
+                              milliseconds{1234}};
+    auto const decoded =
+        decode_host_message(encode_host_message(crash_report{{record}, true}), "t");
+    ASSERT_TRUE(decoded);
+    auto const& got = std::get<crash_report>(*decoded);
+    EXPECT_TRUE(got.pass_on);
+    ASSERT_EQ(got.records.size(), 1U);
+    EXPECT_EQ(got.records[0].fingerprint, record.fingerprint);
+    EXPECT_EQ(got.records[0].age, record.age);
+    ASSERT_EQ(got.records[0].ends.size(), 2U);
+    EXPECT_EQ(got.records[0].ends[0].target, target_id("t0"));
+    EXPECT_EQ(got.records[0].ends[0].incarnation, target_incarnation(7));
+    EXPECT_EQ(got.records[0].ends[0].observer, node_id("h1"));
+    EXPECT_TRUE(got.records[0].ends[0].acquitted);
+    EXPECT_EQ(got.records[0].ends[1].incarnation, target_incarnation(-1));
+    EXPECT_FALSE(got.records[0].ends[1].acquitted);
+}
+
 } // namespace
 } // namespace cove
