Add a failing test: copies of a fatal request from other addresses of its caller

Path and body of a client's own retry are the same; the source address is a place in the network, not the caller: clients that ask any host come from addresses of several zones. In the test 10 targets end instead of 3.

--- a/tests/host/crashing_request_test.cpp
+++ b/tests/host/crashing_request_test.cpp
@@ -61,6 +61,22 @@
                              });
     }
 
+    /** Sends the fatal request from a certain address of the caller and waits for no answer. */
+    void send_fatal_from(std::string const& ip, std::size_t host)
+    {
+        auto const socket = std::make_shared<boost::asio::ip::tcp::socket>(loop);
+        socket->open(boost::asio::ip::tcp::v4());
+        socket->bind({boost::asio::ip::make_address(ip), 0});
+        socket->connect(endpoint_of(clients[host]));
+        static std::string const request =
+            "PUT /a/fatal HTTP/1.1\r\nHost: desk.example\r\nAttempt: a1\r\nDeadline: 900\r\n"
+            "Object: x\r\nContent-Length: 0\r\n\r\n";
+        boost::asio::write(*socket, boost::asio::buffer(request));
+        auto const answer = std::make_shared<boost::asio::streambuf>();
+        boost::asio::async_read_until(*socket, *answer, "\r\n\r\n",
+                                      [socket, answer](boost::system::error_code, std::size_t) {});
+    }
+
     /** Sends requests to the hosts in turn; @p also is called before each, with its number. */
     void load_for(milliseconds time, std::function<void(int)> const& also)
     {
@@ -127,6 +143,21 @@
     EXPECT_GE(statuses[200] - served_before, static_cast<int>(sent - before) * 95 / 100);
 }
 
+TEST_F(crashing_request_case, a_fatal_request_is_known_again_from_another_address_of_its_caller)
+{
+    constexpr int interval = 24; // requests of others between two copies
+    start();
+    load_for(milliseconds{1000}, [](int) {});
+    load_for(milliseconds{5000}, [&](int i) {
+        if (i % interval == 0) {
+            int const copy = i / interval;
+            send_fatal_from("127.0.1." + std::to_string(1 + copy),
+                            static_cast<std::size_t>(copy) % clients.size());
+        }
+    });
+    EXPECT_EQ(ends(), 3);
+}
+
 TEST_F(crashing_request_case, targets_that_end_one_after_the_other_convict_no_request)
 {
     constexpr int interval = 24; // requests of others between two ends
