--- a/src/emulator/zone_emulator.cpp
+++ b/src/emulator/zone_emulator.cpp
@@ -155,6 +155,9 @@
 {
     for (traffic_effect const& effect : hosts_[host]->reduce(event, scheduler_.now())) {
         std::visit([this](auto const& what) { execute(what); }, effect);
+        if (std::holds_alternative<probe_target>(effect)) {
+            scheduler_.after(2 * network_delay, [this, host] { feed(host, probe_ended{true}); });
+        }
     }
 }
 
--- a/src/emulator/zone_emulator.h
+++ b/src/emulator/zone_emulator.h
@@ -94,6 +94,9 @@
     void execute(answer_locally const& effect);
     void execute(report_crashes const& effect);
     void execute(log_blocked_request const& /*effect*/) {}
+    void execute(relay_request const& /*effect*/) {} // no link is cut
+    void execute(probe_target const& /*effect*/) {}  // feed() answers it
+    void execute(links_changed const& /*effect*/) {}
     void report_in_flight();
     void every(milliseconds interval, std::function<void()> const& fn);
     void finish(client_request const& request, bool served);
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -98,6 +98,11 @@
           loop, timers,
           {[this](call_id call, http_request const& request) { answer_lookup(call, request); },
            [](call_id) {}}),
+      relays_(loop, timers,
+              {[this](call_id call, http_request request) {
+                   forwarder_.on_relayed_request(call, std::move(request));
+               },
+               [this](call_id call) { forwarder_.on_relay_disconnected(call); }}),
       metrics_(
           loop, timers,
           {[this](call_id call, http_request const& request) { answer_metrics(call, request); },
@@ -114,7 +119,11 @@
       shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
       started_(read_clocks().mono), quota_division_(node_id(settings_.name))
 {
-    forwarder_.attach(clients_);
+    forwarder_.attach(clients_, relays_);
+    forwarder_.on_links_changed([this](bool) {
+        // Not at once, as the reducer's effects are still being carried out.
+        timers_.once(read_clocks().mono, [this] { report_peers(read_clocks().mono); });
+    });
     forwarder_.on_crashes(
         [this](std::vector<crash_record> const& records) { spread_crashes(records); });
 }
@@ -187,6 +196,9 @@
         }
     }
     auto started = transport_.start(settings_.ip);
+    if (started) {
+        started = relays_.start(settings_.ip + ":" + std::to_string(settings_.relay_port));
+    }
     if (started) {
         started = readiness_.start(settings_.readiness_address);
     }
@@ -320,6 +332,7 @@
     mono_time const now = read_clocks().mono;
     log_event("leaving", {{"open_requests", std::to_string(forwarder_.open_requests())}});
     clients_.close_after_responses();
+    relays_.close_after_responses();
     send(view_.announce_leaving(state(), now));
     timers_.once(now + fraction_of(settings_.grace, stop_accept_fraction),
                  [this] { finish_leaving(); });
@@ -331,12 +344,14 @@
 void entry_host::finish_leaving()
 {
     clients_.stop_accepting();
+    relays_.stop_accepting();
     directory_.stop_accepting();
     clients_.close_idle();
     directory_.close_idle();
     timers_.every(exit_check_interval, [this] {
         clients_.close_idle();
-        if (clients_.connections() == 0) {
+        relays_.close_idle();
+        if (clients_.connections() == 0 && relays_.connections() == 0) {
             log_event("stopped");
             loop_.stop();
         }
@@ -363,6 +378,7 @@
     limits.header_timeout = config.limits.header_timeout;
     limits.idle_timeout = config.limits.idle_timeout;
     clients_.set_limits(limits);
+    relays_.set_limits(limits);
     forwarder_.set_config(config);
     log_.event("config_in_force",
                {{"version", std::to_string(config.version.value)},
@@ -396,6 +412,7 @@
     own.ready = ready();
     own.versions = versions();
     own.store_lost = store_lost();
+    own.cut_off = forwarder_.cut_off();
     own.loads = forwarder_.loads();
     for (auto const& [target, in_flight] : forwarder_.in_flight_by_target()) {
         own.targets_in_flight.push_back({target, in_flight});
@@ -465,8 +482,11 @@
         query.regions = forwarder_.routes()->home_regions(lookup->host);
     }
     update_serving_hosts(now);
-    auto const addresses = choose_hosts(query, shares_.shares_of(lookup->zone), directory_hosts_,
-                                        max_lookup_addresses);
+    auto addresses = choose_hosts(query, shares_.shares_of(lookup->zone), directory_hosts_,
+                                  max_lookup_addresses);
+    if (addresses.empty() && directory_hosts_.empty() && ready() && !leaving_) {
+        addresses.push_back(settings_.client_address); // no host reaches the targets
+    }
     if (addresses.empty()) {
         directory_.respond(call, http_response(http::status::service_unavailable, http_version));
         return;
@@ -500,6 +520,9 @@
     gauge("follows_store", follows_store_ ? 1 : 0);
     gauge("store_lost", store_lost() ? 1 : 0);
     gauge("log_lines_left_out", log_.dropped());
+    gauge("cut_off_from_targets", forwarder_.cut_off() ? 1 : 0);
+    out += "# TYPE cove_relayed_requests counter\ncove_relayed_requests " +
+           std::to_string(forwarder_.relayed_requests()) + "\n";
     gauge("suspected_requests", forwarder_.crashes(max_crash_records).size());
     out += "# TYPE cove_blocked_requests counter\ncove_blocked_requests " +
            std::to_string(forwarder_.blocked_requests()) + "\n";
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -110,6 +110,7 @@
     http_server clients_;
     http_server readiness_;
     http_server directory_;
+    http_server relays_; ///< requests of hosts that are cut off from the targets
     http_server metrics_;
     host_view view_;
     loop_transport transport_;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -133,6 +133,14 @@
                                  host->new_objects.end());
         }
     }
+    if (forwarder_.needs_relays()) {
+        for (roster_host const& host : view_.serving(now)) {
+            if (host.name != node_id(settings_.name)) {
+                peers.relays.push_back(
+                    {host.zone, host.ip + ":" + std::to_string(settings_.relay_port)});
+            }
+        }
+    }
     forwarder_.set_peers(peers);
 }
 
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -39,6 +39,8 @@
         .text("ip", &s::ip, "IP address of this host")
         .integer("peer_port", &s::peer_port, 1, last_port,
                  "port for messages between entry hosts, the same on all hosts")
+        .integer("relay_port", &s::relay_port, 1, last_port,
+                 "port for requests that other entry hosts relay, the same on all hosts")
         .ip_port_list("seeds", &s::seeds, "addresses of some entry hosts; the port is ignored")
         .ip_port("store_address", &s::store_address, "address of the platform's store")
         .duration("heartbeat", &s::heartbeat, "interval between a target's reports to the store")
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -22,6 +22,7 @@
     std::string metrics_address; ///< empty: metrics are not served
     std::string ip;
     int peer_port = 0;
+    int relay_port = 0;
     std::vector<std::string> seeds; ///< IP:port; the port is ignored
     std::string store_address;
     milliseconds heartbeat{};
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -16,6 +16,11 @@
 constexpr milliseconds tick_interval{20}; ///< resolution of queue waits and timeouts
 constexpr milliseconds no_config_retry_after{
     500}; ///< a new host usually has a configuration by then
+/// A few round trips between regions.
+constexpr milliseconds connect_timeout{300};
+/// Field of a relayed request with the IP of the client; read on the port for other hosts only.
+constexpr char const* client_field = "Cove-Client";
+constexpr std::uint64_t relayed_id_bit = std::uint64_t{1} << 63U; ///< calls of two servers differ
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_client_error = 400;
@@ -112,7 +117,7 @@
                                      header_names names, traffic_settings settings,
                                      log_limiter& log)
     : timers_(timers), names_(std::move(names)), log_(log), traffic_(std::move(settings)),
-      pool_(loop, timers)
+      pool_(loop, timers), relay_pool_(loop, timers)
 {
     tick_ = timers_.every(tick_interval, [this] {
         if (traffic_.has_open_requests()) {
@@ -134,43 +139,74 @@
 }
 
 void request_forwarder::on_request(call_id call, http_request request)
+{
+    open_request open;
+    open.server = clients_;
+    open.call = call;
+    open.client = clients_->client_ip(call);
+    open.message = std::move(request);
+    accept(request_id(call.value), std::move(open), false);
+}
+
+void request_forwarder::on_relayed_request(call_id call, http_request request)
+{
+    open_request open;
+    open.server = peers_;
+    open.call = call;
+    open.client = to_std_string(request[client_field]);
+    request.erase(client_field);
+    open.message = std::move(request);
+    accept(request_id(call.value | relayed_id_bit), std::move(open), true);
+}
+
+void request_forwarder::accept(request_id id, open_request open, bool relayed)
 {
     if (!routes_) {
-        respond(call, http::status::service_unavailable, no_config_retry_after);
+        respond(*open.server, open.call, http::status::service_unavailable, no_config_retry_after);
         return;
     }
+    http_request& request = open.message;
     std::string const target = to_std_string(request.target());
     auto const route = routes_->find(to_std_string(request[http::field::host]), path_of(target));
     if (!route) {
-        respond(call, http::status::not_found, milliseconds{0});
+        respond(*open.server, open.call, http::status::not_found, milliseconds{0});
         return;
     }
-    open_request open;
     open.attempt_id = to_std_string(request[names_.attempt_id]);
+    open.fingerprint = fingerprint_of(request);
     open.route = route;
     open.service = round_robin_.next(*route);
     open.arrived = read_clocks().mono;
     auto const deadline = read_int(to_std_string(request[names_.deadline]));
-    open.fingerprint = fingerprint_of(request);
-    request_arrived event{request_id(call.value),
+    request_arrived event{id,
                           route,
                           open.service,
                           object_key(to_std_string(request[names_.object])),
-                          server_->client_ip(call),
+                          open.client,
                           deadline ? milliseconds(*deadline) : route->timeout,
-                          open.fingerprint};
+                          open.fingerprint,
+                          relayed};
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
-    open.message = std::move(request);
     open_.emplace(event.id, std::move(open));
     feed(event);
 }
 
 void request_forwarder::on_client_disconnected(call_id call)
 {
-    feed(client_disconnected{request_id(call.value)});
-    auto const found = open_.find(request_id(call.value));
+    on_disconnected(request_id(call.value));
+}
+
+void request_forwarder::on_relay_disconnected(call_id call)
+{
+    on_disconnected(request_id(call.value | relayed_id_bit));
+}
+
+void request_forwarder::on_disconnected(request_id id)
+{
+    feed(client_disconnected{id});
+    auto const found = open_.find(id);
     if (found != open_.end() && !found->second.connection) {
         record_outcome(found->second, "client_left");
         open_.erase(found);
@@ -190,6 +226,9 @@
     message.prepare_payload();
     open.connection = pool_.acquire(effect.target, effect.address, effect.idempotent);
     bool const fresh = !open.connection->connected();
+    if (fresh) {
+        limit_connect_time(open.connection);
+    }
     open.connection->exchange(
         std::move(message),
         [this, attempt_id = open.attempt_id](http_response const& response) {
@@ -200,6 +239,97 @@
         });
 }
 
+/** Gives up connecting, so that the request goes elsewhere while there is time. */
+void request_forwarder::limit_connect_time(target_connection_pool::connection const& connection)
+{
+    timers_.once(read_clocks().mono + connect_timeout,
+                 [weak = std::weak_ptr<exchange_connection>(connection)] {
+                     if (auto const waiting = weak.lock()) {
+                         waiting->give_up_connecting();
+                     }
+                 });
+}
+
+void request_forwarder::execute(relay_request const& effect)
+{
+    auto const found = open_.find(effect.id);
+    if (found == open_.end()) {
+        return;
+    }
+    ++relayed_requests_;
+    open_request& open = found->second;
+    http_request message = open.message;
+    message.set(names_.deadline, std::to_string(effect.time_left.count()));
+    message.set(client_field, open.client);
+    message.prepare_payload();
+    open.connection =
+        relay_pool_.acquire(target_id(effect.address), effect.address, effect.idempotent);
+    if (!open.connection->connected()) {
+        limit_connect_time(open.connection);
+    }
+    open.connection->exchange(
+        std::move(message),
+        [this, attempt_id = open.attempt_id](http_response const& response) {
+            return match(attempt_id, response);
+        },
+        [this, effect](exchange_result result) {
+            on_relay_end(effect.id, effect, std::move(result));
+        });
+}
+
+void request_forwarder::on_relay_end(request_id id, relay_request const& relay,
+                                     exchange_result result)
+{
+    auto const found = open_.find(id);
+    if (found == open_.end()) {
+        return;
+    }
+    open_request& open = found->second;
+    auto const connection = std::move(open.connection);
+    open.connection.reset();
+    relay_ended event{id, relay_end::broken};
+    if (result.outcome == exchange_outcome::connect_failed) {
+        event.end = relay_end::not_sent;
+    }
+    else if (result.outcome == exchange_outcome::answered) {
+        event.end =
+            promises_not_run(result.response.result()) ? relay_end::refused : relay_end::answered;
+        relay_pool_.release(target_id(relay.address), connection);
+    }
+    if (event.end != relay_end::answered) {
+        log_.event("relay_failed",
+                   {{"request", open.attempt_id},
+                    {"host", relay.address},
+                    {"service", open.service.value},
+                    {"end", std::to_string(static_cast<int>(event.end))},
+                    {"detail", result.detail}},
+                   read_clocks().mono);
+    }
+    open.response = std::move(result.response);
+    feed(event);
+}
+
+void request_forwarder::execute(probe_target const& effect)
+{
+    pool_.probe(effect.target, effect.address, [this](probe_result result) {
+        feed(probe_ended{result == probe_result::reached});
+    });
+}
+
+void request_forwarder::execute(links_changed const& effect)
+{
+    log_.event(effect.cut_off ? "cut_off_from_targets" : "targets_reached_again", {},
+               read_clocks().mono);
+    if (links_changed_) {
+        links_changed_(effect.cut_off);
+    }
+}
+
+bool request_forwarder::needs_relays() const
+{
+    return traffic_.needs_relays(read_clocks().mono);
+}
+
 response_match request_forwarder::match(std::string const& attempt_id,
                                         http_response const& response) const
 {
@@ -277,6 +407,7 @@
     attempt_ended event{
         id,           attempt.target, classify(result),
         std::nullopt, std::nullopt,   fresh ? connection->connect_time() : microseconds{0}};
+    event.connect_timed_out = result.connect_timed_out;
     if (result.outcome == exchange_outcome::answered) {
         event.load = parse_load(result.response);
         event.notice = parse_notice(result.response);
@@ -299,8 +430,8 @@
         feed(event);
         return;
     }
-    pool_.probe(attempt.target, attempt.address, [this, event](bool refused) mutable {
-        event.target_ended = refused;
+    pool_.probe(attempt.target, attempt.address, [this, event](probe_result got) mutable {
+        event.target_ended = got == probe_result::refused;
         feed(event);
     });
 }
@@ -322,10 +453,11 @@
     }
     http_response response = std::move(found->second.response);
     bool const success = response.result_int() < first_redirect;
-    record_outcome(found->second, success ? "served" : "target_failed");
+    open_request const open = std::move(found->second);
+    record_outcome(open, success ? "served" : "target_failed");
     open_.erase(found);
     remove_hop_by_hop_fields(response);
-    server_->respond(call_id(effect.id.value), std::move(response));
+    open.server->respond(open.call, std::move(response));
 }
 
 void request_forwarder::execute(answer_locally const& effect)
@@ -346,9 +478,10 @@
                read_clocks().mono);
     record_outcome(found->second, name_of(effect.reason));
     blocked_requests_ += effect.reason == refusal::blocked ? 1 : 0;
+    open_request const open = std::move(found->second);
     open_.erase(found);
     bool const not_run = effect.reason == refusal::no_room || effect.reason == refusal::no_target;
-    respond(call_id(effect.id.value), status_of(effect.reason),
+    respond(*open.server, open.call, status_of(effect.reason),
             not_run ? effect.retry_after : milliseconds{0});
 }
 
@@ -371,13 +504,14 @@
                read_clocks().mono);
 }
 
-void request_forwarder::respond(call_id call, http::status status, milliseconds retry_after)
+void request_forwarder::respond(http_server& server, call_id call, http::status status,
+                                milliseconds retry_after)
 {
     http_response response(status, http_version);
     if (retry_after > milliseconds{0}) {
         response.set(http::field::retry_after, format_seconds(retry_after));
     }
-    server_->respond(call, std::move(response));
+    server.respond(call, std::move(response));
 }
 
 void request_forwarder::record_outcome(open_request const& request, std::string const& outcome)
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -43,12 +43,30 @@
         report_crashes_ = std::move(report);
     }
 
-    /** @param server that responses are sent through; must outlive this. */
-    void attach(http_server& server) { server_ = &server; }
+    /** @param changed called when this host has lost its links to all targets, or has them again.
+     */
+    void on_links_changed(std::function<void(bool cut_off)> changed)
+    {
+        links_changed_ = std::move(changed);
+    }
+
+    /**
+     * @param clients server of the clients' requests.
+     * @param peers server of the requests that other hosts relay; both must outlive this.
+     */
+    void attach(http_server& clients, http_server& peers)
+    {
+        clients_ = &clients;
+        peers_ = &peers;
+    }
 
     void on_request(call_id call, http_request request);
     void on_client_disconnected(call_id call);
 
+    /** A request that another host relays, as it is cut off from the targets. */
+    void on_relayed_request(call_id call, http_request request);
+    void on_relay_disconnected(call_id call);
+
     void set_config(routing_config const& config);
     void set_targets(std::vector<target_entry> const& entries);
     void change_targets(targets_changed const& changes);
@@ -62,6 +80,9 @@
     [[nodiscard]] std::map<std::uint32_t, rate_limit_notice> limits() const;
     [[nodiscard]] std::vector<service_objects> announcements(milliseconds window) const;
     [[nodiscard]] std::vector<crash_record> crashes(std::size_t limit) const;
+    [[nodiscard]] bool cut_off() const { return traffic_.cut_off(); }
+    [[nodiscard]] bool needs_relays() const;
+    [[nodiscard]] std::uint64_t relayed_requests() const { return relayed_requests_; }
     [[nodiscard]] std::uint64_t blocked_requests() const { return blocked_requests_; }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] route_table const* routes() const { return routes_.get(); }
@@ -70,6 +91,9 @@
 private:
     struct open_request {
         http_request message;
+        http_server* server = nullptr; ///< through which it came
+        call_id call;                  ///< of that server
+        std::string client;            ///< IP
         std::string attempt_id;
         request_fingerprint fingerprint;
         std::shared_ptr<route_config const> route;
@@ -86,9 +110,17 @@
     void execute(answer_locally const& effect);
     void execute(report_crashes const& effect);
     void execute(log_blocked_request const& effect);
+    void execute(relay_request const& effect);
+    void execute(probe_target const& effect);
+    void execute(links_changed const& effect);
+    void accept(request_id id, open_request open, bool relayed);
+    void on_disconnected(request_id id);
+    void limit_connect_time(target_connection_pool::connection const& connection);
+    void on_relay_end(request_id id, relay_request const& relay, exchange_result result);
     void on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
                          exchange_result result);
-    void respond(call_id call, boost::beast::http::status status, milliseconds retry_after);
+    static void respond(http_server& server, call_id call, boost::beast::http::status status,
+                        milliseconds retry_after);
     void record_outcome(open_request const& request, std::string const& outcome);
     [[nodiscard]] response_match match(std::string const& attempt_id,
                                        http_response const& response) const;
@@ -101,14 +133,18 @@
     log_limiter& log_;
     traffic traffic_;
     target_connection_pool pool_;
+    target_connection_pool relay_pool_; ///< connections to other hosts, by their address
     weighted_round_robin round_robin_;
     std::unique_ptr<route_table> routes_;
     std::unordered_map<request_id, open_request> open_;
     latency_metrics metrics_;
-    http_server* server_ = nullptr;
+    http_server* clients_ = nullptr;
+    http_server* peers_ = nullptr;
     loop_timers::subscription tick_ = 0;
     std::function<void(std::vector<crash_record> const&)> report_crashes_;
+    std::function<void(bool)> links_changed_;
     std::uint64_t blocked_requests_ = 0; ///< answered as blocked so far
+    std::uint64_t relayed_requests_ = 0; ///< sent to other hosts so far
 };
 
 } // namespace cove
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -70,23 +70,24 @@
 }
 
 void target_connection_pool::probe(target_id const& target, std::string const& address,
-                                   std::function<void(bool refused)> done)
+                                   std::function<void(probe_result)> done)
 {
     auto const tested =
         std::make_shared<exchange_connection>(loop_, endpoint_of(address), exchange_limits{});
     auto const timeout = timers_.once(read_clocks().mono + probe_timeout, [tested, done] {
         tested->close();
-        done(false);
+        done(probe_result::no_answer);
     });
     tested->connect([this, target, tested, timeout, done](boost::system::error_code error) {
         timers_.cancel(timeout);
-        if (error) {
-            tested->close();
-        }
-        else {
+        if (!error) {
             release(target, tested);
+            done(probe_result::reached);
+            return;
         }
-        done(error == boost::asio::error::connection_refused);
+        tested->close();
+        done(error == boost::asio::error::connection_refused ? probe_result::refused
+                                                             : probe_result::no_answer);
     });
 }
 
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -14,6 +14,13 @@
 
 namespace cove {
 
+/** How a test of the link to a target ended. */
+enum class probe_result {
+    reached,   ///< a connection was established
+    refused,   ///< the address refuses connections
+    no_answer, ///< no reply in time, or another error
+};
+
 /** Keeps connections open between requests, for as long as the targets keep them open. */
 class target_connection_pool {
 public:
@@ -39,11 +46,10 @@
 
     /**
      * Tests whether a target still takes connections; one that is established is kept for reuse.
-     * @param done called once, with whether the address refuses connections. No reply in time does
-     * not count as a refusal.
+     * @param done called once.
      */
     void probe(target_id const& target, std::string const& address,
-               std::function<void(bool refused)> done);
+               std::function<void(probe_result)> done);
 
     /** Closes the connections to targets that are not in @p targets. */
     void keep_only(std::set<target_id> const& targets);
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -80,6 +80,15 @@
         });
 }
 
+void exchange_connection::give_up_connecting()
+{
+    if (!connected_ && !closed_) {
+        exchange_result result{exchange_outcome::connect_failed, {}, "no reply in time"};
+        result.connect_timed_out = true;
+        finish(std::move(result));
+    }
+}
+
 void exchange_connection::send()
 {
     http::async_write(socket_, request_,
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -28,6 +28,7 @@
     std::string detail;     ///< reason of a failure, for the log
     /// The connection ended before the whole answer, as opposed to an invalid answer.
     bool connection_lost = false;
+    bool connect_timed_out = false; ///< give_up_connecting() was called
 };
 
 /** Whether a response belongs to the request that was sent last. */
@@ -72,6 +73,9 @@
     /** Establishes the connection without a request. @param done as in exchange(). */
     void connect(connect_handler done);
 
+    /** Ends a request that still waits for the connection; its outcome is connect_failed. */
+    void give_up_connecting();
+
     /** Closes the connection and aborts the request in progress. */
     void close();
 
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -85,10 +85,12 @@
 
 void host_view::refresh_self(local_host_state const& own)
 {
-    serving_changed_ = serving_changed_ || self_.leaving != own.leaving || self_.ready != own.ready;
+    serving_changed_ = serving_changed_ || self_.leaving != own.leaving ||
+                       self_.ready != own.ready || self_.cut_off != own.cut_off;
     ++self_.sequence;
     self_.leaving = own.leaving;
     self_.ready = own.ready;
+    self_.cut_off = own.cut_off;
     self_.versions = own.versions;
     self_.loads = own.loads;
     self_.store_lost = own.store_lost;
@@ -112,7 +114,7 @@
 {
     std::vector<roster_host> out;
     for (host_report const* const host : zone_hosts(now)) {
-        if (host->ready && !host->leaving) {
+        if (host->ready && !host->leaving && !host->cut_off) {
             out.push_back(
                 {host->name, host->zone, host->ip, host->client_address, host->incarnation});
         }
@@ -140,12 +142,14 @@
     out.incarnation = self_.incarnation;
     out.sequence = self_.sequence;
     out.ip = self_.ip;
-    // The serving host with the lowest name reports the zone's target loads.
+    // The serving host with the lowest name reports the zone's target loads; hosts that are cut off
+    // from the targets only if there is no other.
     host_report const* reporter = nullptr;
     for (host_report const* const host : zone_hosts(now)) {
         out.versions.merge(host->versions);
         bool const serves = host->ready && !host->leaving;
-        if (serves && (reporter == nullptr || host->name < reporter->name)) {
+        if (serves && (reporter == nullptr || std::pair(host->cut_off, host->name) <
+                                                  std::pair(reporter->cut_off, reporter->name))) {
             reporter = host;
         }
     }
@@ -315,10 +319,10 @@
         !host.has_reported || report.incarnation > host.report.incarnation ||
         (report.incarnation == host.report.incarnation && report.sequence > host.report.sequence);
     if (newer) {
-        serving_changed_ = serving_changed_ || !host.has_reported ||
-                           report.incarnation != host.report.incarnation ||
-                           report.ready != host.report.ready ||
-                           report.leaving != host.report.leaving;
+        serving_changed_ =
+            serving_changed_ || !host.has_reported ||
+            report.incarnation != host.report.incarnation || report.ready != host.report.ready ||
+            report.cut_off != host.report.cut_off || report.leaving != host.report.leaving;
         host = {report, now, true};
     }
 }
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -48,6 +48,7 @@
 struct local_host_state {
     bool leaving = false;
     bool ready = false;
+    bool cut_off = false; ///< has lost its links to all targets
     known_versions versions;
     std::vector<service_load_report> loads;
     bool store_lost = false;
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -57,6 +57,7 @@
     out.set_sequence(report.sequence);
     out.set_leaving(report.leaving);
     out.set_ready(report.ready);
+    out.set_cut_off(report.cut_off);
     write_versions(out, report.versions);
     out.set_store_lost(report.store_lost);
     write_loads(out, report.loads);
@@ -89,6 +90,7 @@
     report.sequence = in.sequence();
     report.leaving = in.leaving();
     report.ready = in.ready();
+    report.cut_off = in.cut_off();
     report.versions = read_versions(in);
     report.store_lost = in.store_lost();
     report.loads = read_loads(in);
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -40,6 +40,7 @@
     std::uint64_t sequence = 0; ///< increases with each report of the same incarnation
     bool leaving = false;       ///< is shutting down
     bool ready = false;         ///< has an active configuration
+    bool cut_off = false;       ///< has lost its links to all targets
     known_versions versions;
     std::vector<service_load_report> loads;
     bool store_lost = false; ///< calls of this host to the platform's store fail
--- /dev/null
+++ b/src/traffic/reach_monitor.cpp
@@ -0,0 +1,97 @@
+#include "traffic/reach_monitor.h"
+
+#include <algorithm>
+
+namespace cove {
+
+namespace {
+
+constexpr std::size_t failed_targets_to_probe = 3; ///< or all targets, if there are fewer
+constexpr milliseconds quiet_time_to_probe{200};   ///< without any answer
+constexpr milliseconds round_interval{500};
+constexpr int first_rounds_needed = 2;
+constexpr int max_rounds_needed = 8;
+constexpr milliseconds relapse_time{10'000}; ///< cuts that follow within it belong together
+constexpr milliseconds return_time{1500};    ///< from the end of a cut until all is sent directly
+
+} // namespace
+
+void reach_monitor::attempt_failed(std::uint32_t target, mono_time now)
+{
+    if (failed_.empty() && last_answer_ == mono_time{}) {
+        last_answer_ = now; // nothing is known from before the first failure
+    }
+    if (failed_.size() < failed_targets_to_probe) {
+        failed_.insert(target);
+    }
+}
+
+void reach_monitor::attempt_answered(mono_time now)
+{
+    failed_.clear();
+    last_answer_ = now;
+}
+
+bool reach_monitor::probes_due(std::size_t targets, mono_time now) const
+{
+    if (pending_ > 0 || targets == 0 || now - last_round_ < round_interval) {
+        return false;
+    }
+    bool const suspected = failed_.size() >= std::min(failed_targets_to_probe, targets) &&
+                           now - last_answer_ >= quiet_time_to_probe;
+    return cut_off_ || suspected;
+}
+
+void reach_monitor::probes_started(std::size_t count, mono_time now)
+{
+    last_round_ = now;
+    pending_ = count;
+    probes_ = count;
+    reached_ = 0;
+}
+
+bool reach_monitor::probe_ended(bool reached, mono_time now)
+{
+    if (pending_ == 0) {
+        return false;
+    }
+    reached_ += reached ? 1 : 0;
+    --pending_;
+    return pending_ == 0 && end_round(now);
+}
+
+bool reach_monitor::end_round(mono_time now)
+{
+    if (!cut_off_) {
+        failed_.clear();
+        if (reached_ > 0) {
+            return false;
+        }
+        bool const relapsed = mended_ && now - *mended_ < relapse_time;
+        rounds_needed_ =
+            relapsed ? std::min(2 * rounds_needed_, max_rounds_needed) : first_rounds_needed;
+        good_rounds_ = 0;
+        cut_off_ = true;
+        return true;
+    }
+    good_rounds_ = 2 * reached_ > probes_ ? good_rounds_ + 1 : 0;
+    if (good_rounds_ < rounds_needed_) {
+        return false;
+    }
+    cut_off_ = false;
+    mended_ = now;
+    last_answer_ = now;
+    return true;
+}
+
+double reach_monitor::relay_share(mono_time now) const
+{
+    if (cut_off_) {
+        return 1;
+    }
+    using float_ms = std::chrono::duration<double, std::milli>;
+    double const passed = mended_ ? float_ms(now - *mended_) / float_ms(return_time) : 1;
+    return std::clamp(1 - passed, 0.0, 1.0);
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/traffic/reach_monitor.h
@@ -0,0 +1,57 @@
+#pragma once
+/** @file Tells whether this host has lost its links to all targets. */
+
+#include "traffic/target_type.h"
+
+#include <optional>
+#include <set>
+
+namespace cove {
+
+/**
+ * Judges the links of this host to the targets.
+ *
+ * Several targets that fail while none answers raise a suspicion; then a round of probes to targets
+ * of all services and zones decides. While cut off, the host goes on with such rounds, and after
+ * some good ones in a row it sends requests directly again, a growing share of them. After cuts
+ * that follow each other soon, more good rounds are needed.
+ */
+class reach_monitor {
+public:
+    /** An attempt at a target was not answered: no connection, a broken one, or silence. */
+    void attempt_failed(std::uint32_t target, mono_time now);
+
+    /** A target has answered. */
+    void attempt_answered(mono_time now);
+
+    /** @param targets number of all targets. @return whether to start a round of probes now. */
+    [[nodiscard]] bool probes_due(std::size_t targets, mono_time now) const;
+
+    /** A round of @p count probes has been started. */
+    void probes_started(std::size_t count, mono_time now);
+
+    /** One probe of the round has ended. @return whether cut_off() has changed. */
+    bool probe_ended(bool reached, mono_time now);
+
+    /** @return whether the host is cut off from the targets. */
+    [[nodiscard]] bool cut_off() const { return cut_off_; }
+
+    /** @return the share of requests to be carried by other hosts, 0 to 1. */
+    [[nodiscard]] double relay_share(mono_time now) const;
+
+private:
+    bool end_round(mono_time now);
+
+    std::set<std::uint32_t> failed_; ///< targets that failed since the last answer, by short hash
+    mono_time last_answer_{};
+    mono_time last_round_{};
+    std::size_t pending_ = 0; ///< probes of the current round
+    std::size_t probes_ = 0;  ///< started in the current round
+    std::size_t reached_ = 0; ///< of these
+    int good_rounds_ = 0;     ///< in a row, while cut off
+    int rounds_needed_ = 0;   ///< of them, to end the cut
+    bool cut_off_ = false;
+    std::optional<mono_time> mended_; ///< end of the last cut
+};
+
+} // namespace cove
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -80,6 +80,7 @@
         address_reused_ = false;
         said_leaving_ = false;
         resume_at_ = now;
+        reconnect_at_ = now;
         backoff_ = milliseconds{0};
         limit_ = {};
         limit_from_answer_ = false;
@@ -100,12 +101,13 @@
 
 bool target_state::accepts(mono_time now) const
 {
-    return !leaving() && !address_reused_ && now >= resume_at_;
+    return !leaving() && !address_reused_ && now >= resume_at_ && now >= reconnect_at_;
 }
 
 milliseconds target_state::pause_left(mono_time now) const
 {
-    return std::chrono::ceil<milliseconds>(std::max(resume_at_ - now, mono_time::duration{0}));
+    return std::chrono::ceil<milliseconds>(
+        std::max(std::max(resume_at_, reconnect_at_) - now, mono_time::duration{0}));
 }
 
 bool target_state::silent(mono_time now) const
@@ -216,11 +218,19 @@
 }
 
 /** Leaves the target alone for a while, longer with each call, as it takes no connections. */
-void target_state::back_off(milliseconds cold_period, mono_time now)
+void target_state::back_off(mono_time now)
 {
     backoff_ = std::clamp(backoff_ * 2, initial_backoff, max_backoff);
-    resume_at_ = now + backoff_;
-    assume_cold(cold_period + backoff_, now); // it may have restarted under the same id
+    reconnect_at_ = now + backoff_;
+}
+
+void target_state::forgive(mono_time now)
+{
+    backoff_ = milliseconds{0};
+    reconnect_at_ = now;
+    assumed_cold_until_ = now;
+    failure_rate_.set(0, now);
+    slowness_.set(1, now);
 }
 
 void target_state::attempt_ended(cove::attempt_ended const& event, double time_ratio,
@@ -237,8 +247,9 @@
     }
     if (event.target_ended) {
         failure_rate_.add(1, now);
-        if (now >= resume_at_) { // all requests at the target break at once
-            back_off(cold_period, now);
+        if (now >= reconnect_at_) { // all requests at the target break at once
+            back_off(now);
+            assumed_cold_until_ = now + cold_period + backoff_;
         }
         return;
     }
@@ -263,7 +274,10 @@
         failure_rate_.add(1, now);
         break;
     case attempt_end::not_connected:
-        back_off(cold_period, now);
+        back_off(now);
+        if (!event.connect_timed_out) { // it may have restarted under the same id
+            assumed_cold_until_ = now + cold_period + backoff_;
+        }
         return;
     }
     last_answer_ = now;
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -62,7 +62,13 @@
     /** Treats the target as cold for @p period, as it may have restarted unnoticed. */
     void assume_cold(milliseconds period, mono_time now);
 
-    [[nodiscard]] bool cold(mono_time now) const { return now < cold_until_; }
+    [[nodiscard]] bool cold(mono_time now) const
+    {
+        return now < cold_until_ || now < assumed_cold_until_;
+    }
+
+    /** Forgets failures that were not the target's, as this host was cut off from all targets. */
+    void forgive(mono_time now);
 
     /** @return whether the target shuts down, by the list of targets or by its own answers. */
     [[nodiscard]] bool leaving() const
@@ -140,7 +146,7 @@
     void attempt_cancelled(request_id id) { running_.erase(id); }
 
 private:
-    void back_off(milliseconds cold_period, mono_time now);
+    void back_off(mono_time now);
     void record_load(target_load const& load, mono_time now);
     void record_limit(std::optional<double> limit, mono_time now);
 
@@ -157,7 +163,9 @@
     paced_rate paced_;               ///< requests while the target names a limit
     warm_objects objects_;
     mono_time cold_until_{};
-    mono_time resume_at_{}; ///< no new requests before this time
+    mono_time assumed_cold_until_{}; ///< as it refused connections
+    mono_time resume_at_{};          ///< no new requests before this time, by its own answers
+    mono_time reconnect_at_{};       ///< no new requests before this time, as it did not connect
     mono_time last_sent_{};
     mono_time last_answer_{};     ///< last sign of life: end of an attempt that reached the target
     milliseconds backoff_{};      ///< current wait after failed connections
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -10,6 +10,8 @@
 
 /// Window of the shift cap.
 constexpr milliseconds cross_region_window{2000};
+/// Targets to which a request tries in vain to connect. They cost no retry budget.
+constexpr int max_unsent_attempts = 3;
 /// Time for an answer that the target sends at the deadline to arrive.
 constexpr milliseconds timeout_grace{60};
 
@@ -50,6 +52,7 @@
     request.deadline = now_ + event.deadline;
     request.client = event.client;
     request.fingerprint = event.fingerprint;
+    request.relayed = event.relayed;
     if (auto const first_arrived = refused_requests_.take(identity_of(request), now_)) {
         request.is_client_retry = true;
         request.elapsed_before = now_ - *first_arrived;
@@ -141,6 +144,11 @@
                          event.end == attempt_end::not_connected;
     if (event.end == attempt_end::not_connected) {
         --request.attempts; // nothing reached the target
+        ++request.unsent_attempts;
+        if (request.unsent_attempts <= max_unsent_attempts && now_ < request.expires) {
+            queues_[request.service].push_back(request.id);
+            return;
+        }
     }
     request.may_have_run = request.may_have_run || !not_run;
     if (crashes_.blocked(request.fingerprint, now_)) {
@@ -177,6 +185,12 @@
         return;
     }
     target_state& target = found->second;
+    if (event.end == attempt_end::not_connected || event.end == attempt_end::broken) {
+        reach_.attempt_failed(target.short_hash(), now_);
+    }
+    else {
+        reach_.attempt_answered(now_);
+    }
     bool const was_cold = target.cold(now_);
     double const connect_ms = as_ms(event.connect_time);
     if (event.connect_time > microseconds{0} && target.entry().zone != settings_.zone) {
@@ -226,12 +240,12 @@
         return;
     }
     pending_request& request = found->second;
-    if (request.target && !request.route->idempotent) {
+    if ((request.target || request.relaying) && !request.route->idempotent) {
         request.client_disconnected = true; // it cannot be retried, so cancelling it has no use
         return;
     }
     service_id const service = request.service;
-    if (request.target) {
+    if (request.target || request.relaying) {
         effects_.push_back(cancel_attempt{event.id});
     }
     remove_request(event.id);
@@ -390,24 +404,29 @@
         object_balances_[announced.service].merge(announced.objects, now_);
     }
     balance_objects();
+    relays_ = event.relays;
     used_by_peers_.clear();
     for (auto const& [hash, count] : event.in_flight_by_target) {
         set_running(hash, count);
         used_by_peers_.push_back(hash);
     }
+    if (reach_.cut_off()) {
+        dispatch_all_queues(); // to hosts that can carry the requests now
+    }
 }
 
 void traffic::on(timer_tick const& /*event*/)
 {
     std::vector<request_id> running;
     for (auto const& [id, request] : requests_) {
-        if (request.target) {
+        if (request.target || request.relaying) {
             running.push_back(id);
         }
     }
     for (request_id const& id : running) {
         check_attempt(requests_.at(id));
     }
+    start_probes();
     dispatch_all_queues();
 }
 
@@ -416,12 +435,22 @@
 {
     constexpr double lost_answer_factor = 3;     // answers that are this late are mostly lost
     constexpr double lost_answer_floor_ms = 200; // shorter delays also occur on hosts short of CPU
+    constexpr double late_answer_factor = 2;     // so late, the link may be cut; probes tell
+    constexpr double late_answer_floor_ms = 250;
     if (now_ >= request.expires + timeout_grace) {
         effects_.push_back(cancel_attempt{request.id});
         refuse(request.id, refusal::gave_up, milliseconds{0});
         return;
     }
     double const waited = as_ms(now_ - request.sent);
+    if (request.relaying) {
+        return;
+    }
+    auto const target = targets_.find(*request.target);
+    if (target != targets_.end() &&
+        waited >= std::max(late_answer_floor_ms, late_answer_factor * request.expected_ms)) {
+        reach_.attempt_failed(target->second.short_hash(), now_);
+    }
     if (!request.route->idempotent ||
         waited < std::max(lost_answer_floor_ms, lost_answer_factor * request.expected_ms)) {
         return;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -5,6 +5,7 @@
 #include "traffic/left_targets.h"
 #include "traffic/object_balance.h"
 #include "traffic/placement.h"
+#include "traffic/reach_monitor.h"
 #include "traffic/refused_requests.h"
 #include "traffic/retry_after.h"
 #include "traffic/retry_limiter.h"
@@ -41,9 +42,13 @@
     std::string client;
     request_fingerprint fingerprint;
     int attempts = 0;
+    int unsent_attempts = 0;      ///< that got no connection
     bool is_client_retry = false; ///< the client retries after a refusal
     bool may_have_run = false;
     bool client_disconnected = false; ///< the run at the target continues without a client
+    bool relayed = false;             ///< by another host; must not be relayed again
+    bool relaying = false;            ///< another host carries it
+    std::set<std::string> relays;     ///< addresses of the hosts that were asked to carry it
     std::set<target_id> tried;
     target_state const* queued_for = nullptr; ///< target for whose slots it waits
     // State of the attempt in progress:
@@ -101,6 +106,12 @@
     [[nodiscard]] std::vector<service_objects> announcements(milliseconds window,
                                                              mono_time now) const;
 
+    /** @return whether this host has lost its links to all targets. */
+    [[nodiscard]] bool cut_off() const { return reach_.cut_off(); }
+
+    /** @return whether other hosts carry requests for this one, in part or all. */
+    [[nodiscard]] bool needs_relays(mono_time now) const { return reach_.relay_share(now) > 0; }
+
     /** @return the requests under which most targets have ended, at most @p limit. */
     [[nodiscard]] std::vector<crash_record> crashes(std::size_t limit, mono_time now) const
     {
@@ -121,6 +132,8 @@
     void on(peers_reported const& event);
     void on(crashes_reported const& event);
     void on(crash_retention_changed const& event);
+    void on(relay_ended const& event);
+    void on(probe_ended const& event);
     void on(timer_tick const& event);
 
     bool put_target(target_entry const& entry);
@@ -131,6 +144,11 @@
     void after_failure(pending_request& request, attempt_ended const& event);
     void note_crash(pending_request const& request, attempt_ended const& event);
     void refuse_blocked();
+    [[nodiscard]] bool wants_relay(pending_request const& request) const;
+    bool relay(pending_request& request);
+    [[nodiscard]] relay_host const* choose_relay(pending_request const& request) const;
+    void start_probes();
+    void move_running_to_relays();
     void keep_suspects_apart(pending_request const& request,
                              std::vector<placement_option>& options) const;
     bool retry(pending_request& request);
@@ -178,6 +196,9 @@
     std::map<service_id, std::vector<request_id>> queues_;
     refused_requests refused_requests_;
     crash_table crashes_;
+    reach_monitor reach_;
+    std::vector<relay_host> relays_;
+    std::size_t next_probed_ = 0; ///< position in targets_ at which the next round starts
     std::map<std::pair<zone_id, service_id>, int> remote_quotas_;
     std::map<zone_id, moving_mean> rtt_ms_; ///< round-trip time, from connection times
     std::map<service_id, warm_window> warm_windows_;
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -56,8 +56,28 @@
     crash_record record;
 };
 
-using traffic_effect = std::variant<send_attempt, cancel_attempt, deliver_answer, answer_locally,
-                                    report_crashes, log_blocked_request>;
+/** Let another host carry the request. */
+struct relay_request {
+    request_id id;
+    std::string address; ///< IP:port of the host
+    milliseconds time_left{};
+    bool idempotent = false;
+};
+
+/** Test whether the target takes connections, and report it with probe_ended. */
+struct probe_target {
+    target_id target;
+    std::string address;
+};
+
+/** This host has lost its links to all targets, or has them again. */
+struct links_changed {
+    bool cut_off = false;
+};
+
+using traffic_effect =
+    std::variant<send_attempt, cancel_attempt, deliver_answer, answer_locally, report_crashes,
+                 log_blocked_request, relay_request, probe_target, links_changed>;
 using traffic_effects = std::vector<traffic_effect>;
 
 } // namespace cove
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -26,6 +26,7 @@
     std::string client;      ///< client identity, for example its IP address
     milliseconds deadline{}; ///< how long the client waits, from now
     request_fingerprint fingerprint{};
+    bool relayed = false; ///< by another host, which is cut off from the targets
 };
 
 /** How one attempt at a target ended. */
@@ -54,6 +55,27 @@
     microseconds connect_time{};         ///< zero on a reused connection
     /// Only if broken: the address of the target refuses connections, so it has ended.
     bool target_ended = false;
+    /// Only if not connected: there was no reply in time, as opposed to a refusal.
+    bool connect_timed_out = false;
+};
+
+/** How a request ended that another host was asked to carry. */
+enum class relay_end {
+    answered, ///< with the answer for the client
+    refused,  ///< the other host answered that the request has not run and will not be
+    not_sent, ///< no connection
+    broken,   ///< connection lost; may have run
+};
+
+/** The end of a request that was relayed to another host. */
+struct relay_ended {
+    request_id id;
+    relay_end end = relay_end::broken;
+};
+
+/** The end of a probe of the link to a target. */
+struct probe_ended {
+    bool reached = false;
 };
 
 /** The client disconnected and no longer waits for the answer. */
@@ -89,6 +111,12 @@
     int requests = 0;
 };
 
+/** Another host that can carry requests for this one. */
+struct relay_host {
+    zone_id zone;
+    std::string address; ///< IP:port for relayed requests
+};
+
 /** Summary of the reports of the other hosts. */
 struct peers_reported {
     std::vector<node_id> hosts_in_zone; ///< live hosts that accept requests, this host included
@@ -102,6 +130,8 @@
     std::map<std::uint32_t, rate_limit_notice> limits;
     /// Objects that the other hosts of the zone have announced.
     std::vector<service_objects> objects;
+    /// Hosts that serve and reach the targets; filled while this host needs them.
+    std::vector<relay_host> relays;
 };
 
 /** Requests under which targets have ended, as reported by another host. */
@@ -120,6 +150,6 @@
 using traffic_event =
     std::variant<request_arrived, attempt_ended, client_disconnected, targets_listed,
                  targets_changed, evacuations_listed, services_listed, peers_reported,
-                 crashes_reported, crash_retention_changed, timer_tick>;
+                 crashes_reported, crash_retention_changed, relay_ended, probe_ended, timer_tick>;
 
 } // namespace cove
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -272,6 +272,9 @@
 /** Sends a queued request, leaves it in the queue, or refuses it. */
 void traffic::place(pending_request& request, placement_round& round)
 {
+    if (wants_relay(request) && relay(request)) {
+        return;
+    }
     placement_option const* queued_for = nullptr;
     auto const local = local_options(request, round);
     for (placement_option const& option : local) {
--- a/tests/host/endless_answer_test.cpp
+++ b/tests/host/endless_answer_test.cpp
@@ -31,8 +31,8 @@
     store.targets_listed({{entry}, revision(1)});
     unsigned const got = status("/a/1");
     EXPECT_TRUE(got == 502 || got == 504) << got; // it may have run
-    EXPECT_TRUE(run_until(loop, [&] { return target.closed == target.opened; }));
-    EXPECT_EQ(target.opened, 1);
+    EXPECT_TRUE(run_until(loop, [&] { return target.closed == 1; }));
+    EXPECT_EQ(target.requests, 1);
     EXPECT_LE(target.longest_answer, max_bytes_per_answer);
 }
 
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -3,6 +3,7 @@
 
 #include "core/time_type.h"
 
+#include <array>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -13,7 +14,7 @@
 
 namespace cove {
 
-/** Sends given bytes to each connection, then others again and again until the peer closes it. */
+/** Answers each request with given bytes, then others again and again until the peer closes. */
 class endless_server {
 public:
     endless_server(boost::asio::io_context& loop, std::string first, std::string repeated)
@@ -28,7 +29,7 @@
         return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
 
-    int opened = 0;                 ///< connections
+    int requests = 0;               ///< connections on which one arrived
     int closed = 0;                 ///< of these, the ones that the peer has closed
     std::size_t longest_answer = 0; ///< bytes sent on one connection
 
@@ -39,6 +40,18 @@
         {
         }
 
+        void read()
+        {
+            socket.async_read_some(
+                boost::asio::buffer(head),
+                [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+                    if (!error) {
+                        ++self->server.requests;
+                        self->send(self->server.first_);
+                    }
+                });
+        }
+
         void send(std::string const& bytes)
         {
             boost::asio::async_write(
@@ -56,6 +69,7 @@
 
         endless_server& server;
         boost::asio::ip::tcp::socket socket;
+        std::array<char, 4096> head{};
         std::size_t sent = 0;
     };
 
@@ -64,8 +78,7 @@
         acceptor_.async_accept(
             loop_, [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
                 if (!error) {
-                    ++opened;
-                    std::make_shared<session>(*this, std::move(socket))->send(first_);
+                    std::make_shared<session>(*this, std::move(socket))->read();
                     accept();
                 }
             });
--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -22,6 +22,7 @@
                             {"metrics_address", loopback(free_port())},
                             {"ip", "127.0.0.1"},
                             {"peer_port", free_port()},
+                            {"relay_port", free_port()},
                             {"seeds", nlohmann::json::array()},
                             {"store_address", "127.0.0.1:9"},
                             {"heartbeat", "1500ms"},
--- /dev/null
+++ b/tests/traffic/relay_test.cpp
@@ -0,0 +1,252 @@
+/** @file Hosts that are cut off from the targets: when they notice, and what they do. */
+
+#include "traffic/reach_monitor.h"
+#include "traffic_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+constexpr std::size_t targets = 6;
+
+/** A monitor to which rounds of probes are played. */
+class reach_case : public testing::Test {
+protected:
+    void fail_targets(std::uint32_t count)
+    {
+        for (std::uint32_t i = 0; i < count; ++i) {
+            monitor.attempt_failed(i, now);
+        }
+    }
+
+    /** Plays a round in which @p reached of 4 probes get a connection. */
+    void round(int reached)
+    {
+        now += seconds{1};
+        ASSERT_TRUE(monitor.probes_due(targets, now));
+        monitor.probes_started(4, now);
+        for (int i = 0; i < 4; ++i) {
+            monitor.probe_ended(i < reached, now);
+        }
+    }
+
+    reach_monitor monitor;
+    mono_time now{seconds{100}};
+};
+
+TEST_F(reach_case, failures_of_several_targets_without_any_answer_are_tested)
+{
+    fail_targets(2);
+    now += seconds{1};
+    EXPECT_FALSE(monitor.probes_due(targets, now));
+    EXPECT_TRUE(monitor.probes_due(2, now)); // all there are
+    fail_targets(3);
+    EXPECT_TRUE(monitor.probes_due(targets, now));
+    monitor.attempt_answered(now);
+    EXPECT_FALSE(monitor.probes_due(targets, now));
+}
+
+TEST_F(reach_case, a_host_that_reaches_any_target_is_not_cut_off)
+{
+    fail_targets(3);
+    round(1);
+    EXPECT_FALSE(monitor.cut_off());
+    EXPECT_EQ(monitor.relay_share(now), 0);
+}
+
+TEST_F(reach_case, requests_return_by_steps_after_good_rounds_in_a_row)
+{
+    fail_targets(3);
+    round(0);
+    EXPECT_TRUE(monitor.cut_off());
+    EXPECT_EQ(monitor.relay_share(now), 1);
+    round(4);
+    round(0);
+    round(3);
+    EXPECT_TRUE(monitor.cut_off());
+    round(3);
+    EXPECT_FALSE(monitor.cut_off());
+    double const first = monitor.relay_share(now + milliseconds{100});
+    double const later = monitor.relay_share(now + milliseconds{1000});
+    EXPECT_LT(first, 1);
+    EXPECT_LT(later, first);
+    EXPECT_GT(later, 0);
+    EXPECT_EQ(monitor.relay_share(now + seconds{5}), 0);
+}
+
+TEST_F(reach_case, a_cut_that_follows_soon_ends_later)
+{
+    fail_targets(3);
+    round(0);
+    round(4);
+    round(4);
+    EXPECT_FALSE(monitor.cut_off());
+    fail_targets(3);
+    round(0);
+    round(4);
+    round(4);
+    EXPECT_TRUE(monitor.cut_off());
+    round(4);
+    round(4);
+    EXPECT_FALSE(monitor.cut_off());
+}
+
+/** A reducer that loses its links to all targets. */
+class relay_case : public traffic_fixture, public testing::Test {
+protected:
+    /** Reports other hosts that can carry requests, by zone. */
+    void report_relays(std::vector<relay_host> const& relays)
+    {
+        peers_reported peers;
+        peers.hosts_in_zone = {node_id("h0"), node_id("h1")};
+        peers.hosts_in_total = 2;
+        peers.relays = relays;
+        feed(peers);
+    }
+
+    /** Fails attempts and the probes that follow. */
+    void cut()
+    {
+        for (int i = 0; i < 12 && !reducer.cut_off(); ++i) {
+            request_id const id = arrive("o" + std::to_string(i));
+            // Each attempt gets no connection, until the request is given up.
+            for (auto sent = of_kind<send_attempt>(effects); !sent.empty();
+                 sent = of_kind<send_attempt>(effects)) {
+                end(id, sent.back().target, attempt_end::not_connected);
+            }
+        }
+        advance(milliseconds{300});
+        auto const probes = of_kind<probe_target>(advance_effects);
+        ASSERT_EQ(probes.size(), 4U);
+        for (std::size_t i = 0; i < probes.size(); ++i) {
+            feed(probe_ended{false});
+        }
+        ASSERT_TRUE(reducer.cut_off());
+        EXPECT_TRUE(single<links_changed>().has_value());
+        advance(deadline + milliseconds{100}); // the requests so far have expired
+        ASSERT_EQ(reducer.open_requests(), 0U);
+        advance_effects.clear();
+    }
+
+    relay_host const same_zone{zone_id("home"), "10.0.0.1:7"};
+    relay_host const same_zone_too{zone_id("home"), "10.0.0.2:7"};
+    relay_host const other_region{zone_id("away"), "10.0.1.1:7"};
+};
+
+TEST_F(relay_case, requests_go_by_way_of_the_nearest_host)
+{
+    list(6);
+    cut();
+    report_relays({other_region, same_zone});
+    request_id const id = arrive();
+    auto const relayed = single<relay_request>();
+    ASSERT_TRUE(relayed);
+    EXPECT_EQ(relayed->address, same_zone.address);
+    EXPECT_GT(relayed->time_left, milliseconds{0});
+    feed(relay_ended{id, relay_end::answered});
+    EXPECT_TRUE(single<deliver_answer>());
+    EXPECT_EQ(reducer.open_requests(), 0U);
+}
+
+TEST_F(relay_case, a_relayed_request_is_not_relayed_again)
+{
+    list(6);
+    cut();
+    report_relays({same_zone});
+    feed(request_arrived{request_id(999),
+                         std::make_shared<route_config const>(route),
+                         desk,
+                         object_key(""),
+                         "c",
+                         deadline,
+                         {},
+                         true});
+    EXPECT_TRUE(of_kind<relay_request>(effects).empty());
+}
+
+TEST_F(relay_case, a_route_with_home_regions_is_not_relayed_to_others)
+{
+    list(6);
+    cut();
+    report_relays({other_region});
+    route.home_regions = {region_id("r")};
+    arrive();
+    EXPECT_TRUE(of_kind<relay_request>(effects).empty());
+}
+
+TEST_F(relay_case, a_refusal_is_tried_at_one_more_host_and_then_passed_on)
+{
+    route.idempotent = false;
+    list(6);
+    cut();
+    report_relays({same_zone, same_zone_too});
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    std::string const first = single<relay_request>()->address;
+    feed(relay_ended{id, relay_end::refused});
+    ASSERT_TRUE(single<relay_request>());
+    EXPECT_NE(single<relay_request>()->address, first);
+    feed(relay_ended{id, relay_end::refused});
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
+TEST_F(relay_case, a_request_that_may_have_run_at_another_host_promises_nothing)
+{
+    route.idempotent = false;
+    list(6);
+    cut();
+    report_relays({same_zone, same_zone_too});
+    request_id const id = arrive();
+    feed(relay_ended{id, relay_end::broken});
+    ASSERT_TRUE(single<answer_locally>());
+    EXPECT_EQ(single<answer_locally>()->reason, refusal::lost_answer);
+}
+
+TEST_F(relay_case, a_client_that_leaves_ends_the_relay)
+{
+    list(6);
+    cut();
+    report_relays({same_zone});
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    feed(client_disconnected{id});
+    EXPECT_TRUE(single<cancel_attempt>());
+    EXPECT_EQ(reducer.open_requests(), 0U);
+}
+
+TEST_F(relay_case, a_relay_that_outlasts_the_request_is_given_up)
+{
+    list(6);
+    cut();
+    report_relays({same_zone});
+    arrive();
+    ASSERT_TRUE(single<relay_request>());
+    advance(deadline + milliseconds{100});
+    auto const answers = of_kind<answer_locally>(advance_effects);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].reason, refusal::gave_up);
+}
+
+TEST_F(relay_case, targets_are_used_as_before_once_they_are_reached_again)
+{
+    list(6);
+    cut();
+    report_relays({same_zone});
+    for (int round = 0; round < 2; ++round) {
+        arrive("o");
+        advance(milliseconds{600});
+        for (int i = 0; i < 4; ++i) {
+            feed(probe_ended{true});
+        }
+    }
+    EXPECT_FALSE(reducer.cut_off());
+    now += seconds{5};
+    for (int i = 0; i < 6; ++i) { // none is cold or backed off
+        arrive("o" + std::to_string(i));
+        EXPECT_EQ(of_kind<send_attempt>(effects).size(), 1U);
+    }
+}
+
+} // namespace
+} // namespace cove
