Add failing tests: a cut that spares open connections

Of the three forms the one in which open connections live on fits: answers go on, so nothing looks cut, while each refused connection takes its target out of use and makes it look cold.

--- a/tests/host/cut_off_host_test.cpp
+++ b/tests/host/cut_off_host_test.cpp
@@ -65,7 +65,8 @@
     }
 
     /** Sends requests to both hosts for @p time. @return the share served by each host. */
-    std::array<double, host_count> load_for(milliseconds time)
+    std::array<double, host_count> load_for(milliseconds time,
+                                            milliseconds interval = request_interval)
     {
         std::array<std::map<unsigned, int>, host_count> statuses;
         auto const end = read_clocks().mono + time;
@@ -75,7 +76,7 @@
                 send(host, statuses[host]);
             }
             run_until(
-                loop, [] { return false; }, request_interval);
+                loop, [] { return false; }, interval);
         }
         run_until(
             loop, [] { return false; }, milliseconds{1200}); // the deadline of the last request
@@ -113,6 +114,21 @@
     EXPECT_GT(after[1], 0.95);
 }
 
+TEST_P(cut_off_case, load_that_grows_while_connections_end_is_served_as_well)
+{
+    constexpr milliseconds short_interval{14};
+    start(false);
+    for (auto const& target : targets) {
+        target->answers_per_connection = 40;
+    }
+    EXPECT_GT(load_for(milliseconds{1500})[0], 0.95);
+    cut_all(GetParam());
+    load_for(milliseconds{2000});
+    auto const during = load_for(milliseconds{4000}, short_interval);
+    EXPECT_GT(during[1], 0.95);
+    EXPECT_GT(during[0], during[1] * 2 / 3);
+}
+
 std::string name_of_cut(testing::TestParamInfo<link_cut> const& info)
 {
     std::array<char const*, 3> const names{"silent", "reset", "closed"};
--- a/tests/support/crashing_target.h
+++ b/tests/support/crashing_target.h
@@ -51,6 +51,8 @@
     int requests = 0;       ///< received
     int fatal_requests = 0; ///< of these, the ones that end the target
     int ends = 0;
+    int answers = 0;
+    int answers_per_connection = 0; ///< one in so many ends its connection; 0: none
     milliseconds service_time{100};
     milliseconds time_to_end{60};
     milliseconds down_time{1500};
@@ -90,9 +92,18 @@
                     self->target.crash();
                     return;
                 }
-                boost::asio::async_write(
-                    self->socket, boost::asio::buffer(self->target.answer_),
-                    [self](boost::system::error_code, std::size_t) { self->read(); });
+                bool const last = self->target.answers_per_connection > 0 &&
+                                  ++self->target.answers % self->target.answers_per_connection == 0;
+                self->bytes = self->target.answer_;
+                if (last) {
+                    self->bytes.insert(self->bytes.find("\r\n") + 2, "Connection: close\r\n");
+                }
+                boost::asio::async_write(self->socket, boost::asio::buffer(self->bytes),
+                                         [self, last](boost::system::error_code, std::size_t) {
+                                             if (!last) {
+                                                 self->read();
+                                             }
+                                         });
             });
         }
 
@@ -100,6 +111,7 @@
         boost::asio::ip::tcp::socket socket;
         boost::asio::steady_timer timer;
         boost::asio::streambuf buffer;
+        std::string bytes;
     };
 
     void listen()
--- a/tests/traffic/relay_test.cpp
+++ b/tests/traffic/relay_test.cpp
@@ -134,6 +134,22 @@
     relay_host const other_region{zone_id("away"), "10.0.1.1:7"};
 };
 
+TEST_F(relay_case, links_that_carry_open_connections_only_are_tested)
+{
+    list(6);
+    for (int i = 0; i < 30; ++i) {
+        request_id const id = arrive("o" + std::to_string(i));
+        for (auto sent = of_kind<send_attempt>(effects); !sent.empty();
+             sent = of_kind<send_attempt>(effects)) {
+            target_id const target = sent.back().target;
+            bool const open = target == target_id("t0"); // the only one with an open connection
+            end(id, target, open ? attempt_end::succeeded : attempt_end::not_connected);
+        }
+        advance(milliseconds{40});
+    }
+    EXPECT_EQ(of_kind<probe_target>(advance_effects).size(), 4U);
+}
+
 TEST_F(relay_case, requests_go_by_way_of_the_nearest_host)
 {
     list(6);
