Notice a cut that spares open connections

Cause: any answer counted as proof of the links. With answers on open connections nothing was ever tested, while refused connections took one target after the other out of use for a second and made them look cold for more.

Why it works: connections that fail are judged apart from answers. Several targets that get no connection while none gets one are a suspicion of their own; the same probes decide.

--- a/src/traffic/reach_monitor.cpp
+++ b/src/traffic/reach_monitor.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t failed_targets_to_probe = 3; ///< or all targets, if there are fewer
-constexpr milliseconds quiet_time_to_probe{200};   ///< without any answer
+constexpr milliseconds quiet_time_to_probe{200};   ///< without any success
 constexpr milliseconds round_interval{500};
 constexpr int first_rounds_needed = 2;
 constexpr int max_rounds_needed = 8;
@@ -16,20 +16,46 @@
 
 } // namespace
 
-void reach_monitor::attempt_failed(std::uint32_t target, mono_time now)
+void reach_monitor::failures::add(std::uint32_t target, mono_time now)
 {
-    if (failed_.empty() && last_answer_ == mono_time{}) {
-        last_answer_ = now; // nothing is known from before the first failure
+    if (targets.empty() && last_success == mono_time{}) {
+        last_success = now; // nothing is known from before the first failure
     }
-    if (failed_.size() < failed_targets_to_probe) {
-        failed_.insert(target);
+    if (targets.size() < failed_targets_to_probe) {
+        targets.insert(target);
     }
 }
 
+void reach_monitor::failures::succeeded(mono_time now)
+{
+    targets.clear();
+    last_success = now;
+}
+
+bool reach_monitor::failures::suspicious(std::size_t all_targets, mono_time now) const
+{
+    return targets.size() >= std::min(failed_targets_to_probe, all_targets) &&
+           now - last_success >= quiet_time_to_probe;
+}
+
+void reach_monitor::attempt_failed(std::uint32_t target, mono_time now)
+{
+    answers_.add(target, now);
+}
+
+void reach_monitor::connect_failed(std::uint32_t target, mono_time now)
+{
+    connects_.add(target, now);
+}
+
 void reach_monitor::attempt_answered(mono_time now)
 {
-    failed_.clear();
-    last_answer_ = now;
+    answers_.succeeded(now);
+}
+
+void reach_monitor::connected(mono_time now)
+{
+    connects_.succeeded(now);
 }
 
 bool reach_monitor::probes_due(std::size_t targets, mono_time now) const
@@ -37,9 +63,7 @@
     if (pending_ > 0 || targets == 0 || now - last_round_ < round_interval) {
         return false;
     }
-    bool const suspected = failed_.size() >= std::min(failed_targets_to_probe, targets) &&
-                           now - last_answer_ >= quiet_time_to_probe;
-    return cut_off_ || suspected;
+    return cut_off_ || answers_.suspicious(targets, now) || connects_.suspicious(targets, now);
 }
 
 void reach_monitor::probes_started(std::size_t count, mono_time now)
@@ -63,8 +87,9 @@
 bool reach_monitor::end_round(mono_time now)
 {
     if (!cut_off_) {
-        failed_.clear();
         if (reached_ > 0) {
+            answers_.succeeded(now);
+            connects_.succeeded(now);
             return false;
         }
         bool const relapsed = mended_ && now - *mended_ < relapse_time;
@@ -80,7 +105,8 @@
     }
     cut_off_ = false;
     mended_ = now;
-    last_answer_ = now;
+    answers_.succeeded(now);
+    connects_.succeeded(now);
     return true;
 }
 
--- a/src/traffic/reach_monitor.h
+++ b/src/traffic/reach_monitor.h
@@ -11,19 +11,26 @@
 /**
  * Judges the links of this host to the targets.
  *
- * Several targets that fail while none answers raise a suspicion; then a round of probes to targets
- * of all services and zones decides. While cut off, the host goes on with such rounds, and after
- * some good ones in a row it sends requests directly again, a growing share of them. After cuts
- * that follow each other soon, more good rounds are needed.
+ * Several targets that fail while none answers, or that get no connection while none gets one,
+ * raise a suspicion; then a round of probes to targets of all services and zones decides. While cut
+ * off, the host goes on with such rounds, and after some good ones in a row it sends requests
+ * directly again, a growing share of them. After cuts that follow each other soon, more good rounds
+ * are needed.
  */
 class reach_monitor {
 public:
     /** An attempt at a target was not answered: no connection, a broken one, or silence. */
     void attempt_failed(std::uint32_t target, mono_time now);
 
+    /** No connection to a target was established. */
+    void connect_failed(std::uint32_t target, mono_time now);
+
     /** A target has answered. */
     void attempt_answered(mono_time now);
 
+    /** A connection to a target was established. */
+    void connected(mono_time now);
+
     /** @param targets number of all targets. @return whether to start a round of probes now. */
     [[nodiscard]] bool probes_due(std::size_t targets, mono_time now) const;
 
@@ -42,8 +49,18 @@
 private:
     bool end_round(mono_time now);
 
-    std::set<std::uint32_t> failed_; ///< targets that failed since the last answer, by short hash
-    mono_time last_answer_{};
+    /** Targets that failed since the last success, by short hash. */
+    struct failures {
+        std::set<std::uint32_t> targets;
+        mono_time last_success{};
+
+        void add(std::uint32_t target, mono_time now);
+        void succeeded(mono_time now);
+        [[nodiscard]] bool suspicious(std::size_t all_targets, mono_time now) const;
+    };
+
+    failures answers_;
+    failures connects_;
     mono_time last_round_{};
     std::size_t pending_ = 0; ///< probes of the current round
     std::size_t probes_ = 0;  ///< started in the current round
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -185,6 +185,12 @@
         return;
     }
     target_state& target = found->second;
+    if (event.end == attempt_end::not_connected) {
+        reach_.connect_failed(target.short_hash(), now_);
+    }
+    else if (event.connect_time > microseconds{0}) {
+        reach_.connected(now_);
+    }
     if (event.end == attempt_end::not_connected || event.end == attempt_end::broken) {
         reach_.attempt_failed(target.short_hash(), now_);
     }
--- a/tests/traffic/relay_test.cpp
+++ b/tests/traffic/relay_test.cpp
@@ -47,6 +47,18 @@
     EXPECT_FALSE(monitor.probes_due(targets, now));
 }
 
+TEST_F(reach_case, answers_on_open_connections_do_not_hide_that_new_ones_fail)
+{
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        monitor.connect_failed(i, now);
+    }
+    now += seconds{1};
+    monitor.attempt_answered(now);
+    EXPECT_TRUE(monitor.probes_due(targets, now));
+    monitor.connected(now);
+    EXPECT_FALSE(monitor.probes_due(targets, now));
+}
+
 TEST_F(reach_case, a_host_that_reaches_any_target_is_not_cut_off)
 {
     fail_targets(3);
