Bound the heads of relayed requests apart and count suspects without copying them

Found on the reading of the change: a head as long as clients may send would have been too long for the port of other hosts, which got two fields more; the gauge of suspects copied all records.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -39,7 +39,8 @@
 constexpr milliseconds exit_check_interval{20};
 /// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
 /// well.
-constexpr std::size_t max_crash_records = 10'000; ///< more than a host keeps
+/// Room in the head of a relayed request for the fields that the other host adds.
+constexpr std::uint32_t relay_header_bytes = 1024;
 constexpr double bulk_answer_bytes_per_second = 400'000;
 
 std::uint64_t random_seed()
@@ -378,7 +379,10 @@
     limits.header_timeout = config.limits.header_timeout;
     limits.idle_timeout = config.limits.idle_timeout;
     clients_.set_limits(limits);
-    relays_.set_limits(limits);
+    server_limits relay_limits; // other hosts keep idle connections for as long as by default
+    relay_limits.header_bytes = limits.header_bytes + relay_header_bytes;
+    relay_limits.body_bytes = limits.body_bytes;
+    relays_.set_limits(relay_limits);
     forwarder_.set_config(config);
     log_.event("config_in_force",
                {{"version", std::to_string(config.version.value)},
@@ -523,7 +527,7 @@
     gauge("cut_off_from_targets", forwarder_.cut_off() ? 1 : 0);
     out += "# TYPE cove_relayed_requests counter\ncove_relayed_requests " +
            std::to_string(forwarder_.relayed_requests()) + "\n";
-    gauge("suspected_requests", forwarder_.crashes(max_crash_records).size());
+    gauge("suspected_requests", forwarder_.suspected_requests());
     out += "# TYPE cove_blocked_requests counter\ncove_blocked_requests " +
            std::to_string(forwarder_.blocked_requests()) + "\n";
     out += "# TYPE cove_bytes_to_peers counter\n";
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -80,6 +80,7 @@
     [[nodiscard]] std::map<std::uint32_t, rate_limit_notice> limits() const;
     [[nodiscard]] std::vector<service_objects> announcements(milliseconds window) const;
     [[nodiscard]] std::vector<crash_record> crashes(std::size_t limit) const;
+    [[nodiscard]] std::size_t suspected_requests() const { return traffic_.suspected_requests(); }
     [[nodiscard]] bool cut_off() const { return traffic_.cut_off(); }
     [[nodiscard]] bool needs_relays() const;
     [[nodiscard]] std::uint64_t relayed_requests() const { return relayed_requests_; }
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -70,7 +70,7 @@
 }
 
 void target_connection_pool::probe(target_id const& target, std::string const& address,
-                                   std::function<void(probe_result)> done)
+                                   std::function<void(probe_result)> const& done)
 {
     auto const tested =
         std::make_shared<exchange_connection>(loop_, endpoint_of(address), exchange_limits{});
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -49,7 +49,7 @@
      * @param done called once.
      */
     void probe(target_id const& target, std::string const& address,
-               std::function<void(probe_result)> done);
+               std::function<void(probe_result)> const& done);
 
     /** Closes the connections to targets that are not in @p targets. */
     void keep_only(std::set<target_id> const& targets);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -35,7 +35,7 @@
     effects_.clear();
     std::visit([this](auto const& concrete) { on(concrete); }, event);
     if (auto changes = crashes_.take_changes(now_); !changes.empty()) {
-        effects_.emplace_back(std::in_place_type<report_crashes>, std::move(changes));
+        effects_.emplace_back(report_crashes{std::move(changes)});
     }
     return std::move(effects_);
 }
@@ -113,7 +113,7 @@
 void traffic::refuse_blocked()
 {
     for (crash_record const& record : crashes_.take_blocked(now_)) {
-        effects_.emplace_back(std::in_place_type<log_blocked_request>, record);
+        effects_.emplace_back(log_blocked_request{record});
         std::vector<request_id> queued;
         for (auto const& [id, request] : requests_) {
             if (request.fingerprint == record.fingerprint && !request.target) {
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -106,6 +106,9 @@
     [[nodiscard]] std::vector<service_objects> announcements(milliseconds window,
                                                              mono_time now) const;
 
+    /** @return number of requests under which targets have ended lately. */
+    [[nodiscard]] std::size_t suspected_requests() const { return crashes_.size(); }
+
     /** @return whether this host has lost its links to all targets. */
     [[nodiscard]] bool cut_off() const { return reach_.cut_off(); }
 
