Send no copy of a blocked request that got no connection or is late

A copy under way when its request became blocked was queued again if its target refused the connection, and an idempotent one that was late moved to another target: both could end a fourth target. Both tests failed before (a send instead of the answer). A copy that another host carries is left alone, as the comment says, and not answered twice.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -116,7 +116,8 @@
         effects_.emplace_back(log_blocked_request{record});
         std::vector<request_id> queued;
         for (auto const& [id, request] : requests_) {
-            if (request.fingerprint == record.fingerprint && !request.target) {
+            bool const waits = !request.target && !request.relaying;
+            if (request.fingerprint == record.fingerprint && waits) {
                 queued.push_back(id);
             }
         }
@@ -145,16 +146,17 @@
     if (event.end == attempt_end::not_connected) {
         --request.attempts; // nothing reached the target
         ++request.unsent_attempts;
-        if (request.unsent_attempts <= max_unsent_attempts && now_ < request.expires) {
-            queues_[request.service].push_back(request.id);
-            return;
-        }
     }
     request.may_have_run = request.may_have_run || !not_run;
     if (crashes_.blocked(request.fingerprint, now_)) {
         refuse(request.id, refusal::blocked, milliseconds{0});
         return;
     }
+    if (event.end == attempt_end::not_connected && request.unsent_attempts <= max_unsent_attempts &&
+        now_ < request.expires) {
+        queues_[request.service].push_back(request.id);
+        return;
+    }
     if ((not_run || request.route->idempotent) && retry(request)) {
         return;
     }
@@ -467,7 +469,8 @@
 /** Moves an idempotent request to another target if one can take it immediately. */
 void traffic::retry_on_other_target(pending_request& request)
 {
-    if (request.attempts >= request.route->max_attempts) {
+    if (request.attempts >= request.route->max_attempts ||
+        crashes_.blocked(request.fingerprint, now_)) {
         return;
     }
     target_id const previous = *request.target;
--- a/tests/traffic/crash_test.cpp
+++ b/tests/traffic/crash_test.cpp
@@ -201,6 +201,34 @@
     EXPECT_EQ(refused[0].reason, refusal::blocked);
 }
 
+TEST_F(crash_case, a_copy_that_gets_no_connection_is_not_sent_once_the_request_is_blocked)
+{
+    list(6);
+    request_id const id = arrive_as(7);
+    ASSERT_TRUE(sent());
+    target_id const target = sent()->target;
+    crash_record const report{
+        request_fingerprint(7), {end_of("x0"), end_of("x1"), end_of("x2")}, milliseconds{10}};
+    feed(crashes_reported{{report}});
+    end(id, target, attempt_end::not_connected);
+    EXPECT_FALSE(sent());
+    ASSERT_EQ(of_kind<answer_locally>(effects).size(), 1U);
+    EXPECT_EQ(of_kind<answer_locally>(effects)[0].reason, refusal::blocked);
+}
+
+TEST_F(crash_case, a_late_copy_is_not_sent_to_another_target_once_the_request_is_blocked)
+{
+    list(6);
+    arrive_as(7);
+    ASSERT_TRUE(sent());
+    crash_record const report{
+        request_fingerprint(7), {end_of("x0"), end_of("x1"), end_of("x2")}, milliseconds{10}};
+    feed(crashes_reported{{report}});
+    advance_effects.clear();
+    advance(deadline);
+    EXPECT_TRUE(of_kind<send_attempt>(advance_effects).empty());
+}
+
 TEST_F(crash_case, a_running_copy_that_is_completed_lifts_the_block)
 {
     list(6);
