Let a host without requests notice that its links are back

Rounds of probes were started by the tick of open requests only. A host that is cut off leaves the look-ups, so its clients go; without requests it would have stayed cut off for good. The test failed before: still cut off 4 s after the links were mended, with silent and with reset links. Ticks now go on while the host is cut off.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -120,7 +120,7 @@
       pool_(loop, timers), relay_pool_(loop, timers)
 {
     tick_ = timers_.every(tick_interval, [this] {
-        if (traffic_.has_open_requests()) {
+        if (traffic_.needs_ticks()) {
             feed(timer_tick{});
         }
     });
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -90,8 +90,8 @@
     /** Processes one event. @return the effects to perform. */
     traffic_effects reduce(traffic_event const& event, mono_time now);
 
-    /** @return whether timer_tick events are needed, as there are open requests. */
-    [[nodiscard]] bool has_open_requests() const { return !requests_.empty(); }
+    /** @return whether timer_tick events are needed, for open requests or probes. */
+    [[nodiscard]] bool needs_ticks() const { return !requests_.empty() || reach_.cut_off(); }
 
     /** @return the load of the targets of this zone, per service. */
     [[nodiscard]] std::vector<service_load_report> loads(mono_time now) const;
--- a/tests/host/cut_off_host_test.cpp
+++ b/tests/host/cut_off_host_test.cpp
@@ -129,6 +129,23 @@
     EXPECT_GT(during[0], during[1] * 2 / 3);
 }
 
+/** The forms of a cut that little load is enough to notice. */
+class quiet_host_case : public cut_off_case {};
+
+TEST_P(quiet_host_case, notices_without_requests_that_its_links_are_back)
+{
+    start(true);
+    load_for(milliseconds{1000});
+    cut_all(GetParam());
+    load_for(milliseconds{2500});
+    ASSERT_EQ(metric(0, "cove_cut_off_from_targets"), 1U);
+    for (auto const& link : links) {
+        link->mend();
+    }
+    EXPECT_TRUE(run_until(
+        loop, [this] { return metric(0, "cove_cut_off_from_targets") == 0; }, milliseconds{4000}));
+}
+
 std::string name_of_cut(testing::TestParamInfo<link_cut> const& info)
 {
     std::array<char const*, 3> const names{"silent", "reset", "closed"};
@@ -139,5 +156,8 @@
                          testing::Values(link_cut::silent, link_cut::reset, link_cut::closed),
                          name_of_cut);
 
+INSTANTIATE_TEST_SUITE_P(cuts, quiet_host_case, testing::Values(link_cut::silent, link_cut::reset),
+                         name_of_cut);
+
 } // namespace
 } // namespace cove
