Log how long the store was silent and through whom a host learns of leaving targets

The log of the incident did not tell a silent connection from an older list of a store that came back: store_lost names the time since the last answer, target_list and old_target_list the revisions, target_left who told. No decision changed.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -14,7 +14,7 @@
 
 follower::follower(loop_timers& timers, follow_calls calls, std::uint64_t seed)
     : timers_(timers), calls_(std::move(calls)),
-      retry_delays_(first_retry_delay, max_retry_delay, seed)
+      retry_delays_(first_retry_delay, max_retry_delay, seed), last_answer_(read_clocks().mono)
 {
 }
 
@@ -91,6 +91,7 @@
     switch (answer.status) {
     case follow_status::done:
         retry_delays_.reset();
+        last_answer_ = read_clocks().mono;
         set_reachable(true, "");
         at_ = listed_ ? std::max(at_, answer.at) : answer.at;
         listed_ = true;
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -76,6 +76,9 @@
     /** @return whether the last call succeeded; true before the first one has ended. */
     [[nodiscard]] bool reachable() const { return reachable_; }
 
+    /** @return when the last successful call ended; the construction time before the first one. */
+    [[nodiscard]] mono_time last_answer() const { return last_answer_; }
+
     static constexpr milliseconds default_batch_delay{150};
 
 private:
@@ -95,6 +98,7 @@
     bool list_deferred_ = false; ///< the first list call waits for set_active(true)
     bool reachable_ = true;
     bool call_pending_ = false;
+    mono_time last_answer_;
     loop_timers::subscription next_call_ = 0;
 };
 
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -73,6 +73,11 @@
         settings.shift_cap,     settings.crash_retention};
 }
 
+std::string to_text_ms(microseconds time)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
 milliseconds fraction_of(milliseconds whole, double fraction)
 {
     return milliseconds(static_cast<std::int64_t>(fraction * static_cast<double>(whole.count())));
@@ -137,9 +142,9 @@
             push_config();
         }
     };
-    out.targets_listed = [this](target_snapshot const& list) { apply(list); };
+    out.targets_listed = [this](target_snapshot const& list) { apply(list, "store"); };
     out.targets_changed = [this](target_changes const& changes) {
-        if (apply(changes)) {
+        if (apply(changes, "store")) {
             push_to_zone(changes);
         }
     };
@@ -174,18 +179,23 @@
  */
 store_calls entry_host::observe_reachability(store_calls calls)
 {
-    auto const observe = [this](follow_calls& of_kind, std::string const& kind) {
-        of_kind.reachable = [this, kind](bool up, std::string const& detail) {
-            log_.event(up ? "store_regained" : "store_lost", {{"kind", kind}, {"detail", detail}},
-                       read_clocks().mono);
+    auto const observe = [this](follow_calls& of_kind, follower const& subject,
+                                std::string const& kind) {
+        of_kind.reachable = [this, &subject, kind](bool up, std::string const& detail) {
+            mono_time const now = read_clocks().mono;
+            log_.event(up ? "store_regained" : "store_lost",
+                       {{"kind", kind},
+                        {"silent_ms", to_text_ms(now - subject.last_answer())},
+                        {"detail", detail}},
+                       now);
             if (up && kind == "targets") {
-                targets_.store_recovered(read_clocks().mono);
+                targets_.store_recovered(now);
             }
         };
     };
-    observe(calls.config, "config");
-    observe(calls.targets, "targets");
-    observe(calls.evacuations, "evacuations");
+    observe(calls.config, config_follower_, "config");
+    observe(calls.targets, target_follower_, "targets");
+    observe(calls.evacuations, evacuation_follower_, "evacuations");
     return calls;
 }
 
@@ -523,6 +533,13 @@
     gauge("zones_heard", view_.zones(now).size());
     gauge("follows_store", follows_store_ ? 1 : 0);
     gauge("store_lost", store_lost() ? 1 : 0);
+    out += "# TYPE cove_store_silence_ms gauge\n";
+    for (auto const& [kind, subject] : {std::pair{"config", &config_follower_},
+                                        {"targets", &target_follower_},
+                                        {"evacuations", &evacuation_follower_}}) {
+        out += std::string("cove_store_silence_ms{kind=\"") + kind + "\"} " +
+               to_text_ms(now - subject->last_answer()) + "\n";
+    }
     gauge("log_lines_left_out", log_.dropped());
     gauge("cut_off_from_targets", forwarder_.cut_off() ? 1 : 0);
     out += "# TYPE cove_relayed_requests counter\ncove_relayed_requests " +
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -74,10 +74,10 @@
     void on(crash_report const& message);
     void spread_crashes(std::vector<crash_record> const& records);
     void repeat_crashes(mono_time now);
-    bool apply(target_changes const& message);
+    bool apply(target_changes const& message, std::string const& source);
     void apply(packed_config const& received);
     void relay_config(packed_config const& config, std::vector<std::string> const& receivers);
-    void apply(target_snapshot const& list);
+    void apply(target_snapshot const& list, std::string const& source);
     void apply(evacuation_snapshot const& list);
     void push_to_zone(host_message const& message);
     void transmit(std::vector<std::string> const& ips, host_message const& message);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -280,7 +280,7 @@
         apply(*message.config);
     }
     if (message.targets) {
-        apply(*message.targets);
+        apply(*message.targets, "peer");
     }
     if (message.evacuations) {
         apply(*message.evacuations);
@@ -335,10 +335,18 @@
     relay_config(*config_, view_.zone_peer_ips_before(config_->version, read_clocks().mono));
 }
 
-void entry_host::apply(target_snapshot const& list)
+/** @param source for the log. */
+void entry_host::apply(target_snapshot const& list, std::string const& source)
 {
+    mono_time const now = read_clocks().mono;
     targets_known_ = true;
-    if (targets_.replace(list.entries, list.at, read_clocks().mono)) {
+    log_.event(list.at < targets_.current_revision() ? "old_target_list" : "target_list",
+               {{"targets", std::to_string(list.entries.size())},
+                {"revision", std::to_string(list.at.value)},
+                {"known_revision", std::to_string(targets_.current_revision().value)},
+                {"source", source}},
+               now);
+    if (targets_.replace(list.entries, list.at, now)) {
         forwarder_.set_targets(targets_.entries());
     }
 }
@@ -357,9 +365,10 @@
 
 /**
  * Applies changes newer than this host's list.
+ * @param source for the log.
  * @return whether they were applied; not if they are old or do not follow on from the list.
  */
-bool entry_host::apply(target_changes const& message)
+bool entry_host::apply(target_changes const& message, std::string const& source)
 {
     bool const contiguous = targets_known_ && message.from <= targets_.current_revision();
     if (!contiguous || message.to <= targets_.current_revision()) {
@@ -368,6 +377,14 @@
     mono_time const now = read_clocks().mono;
     targets_changed changed;
     for (target_change const& change : message.changes) {
+        if (!change.entry || change.entry->phase == target_phase::leaving) {
+            log_.event("target_left",
+                       {{"target", change.id.value},
+                        {"entry", change.entry ? "leaving" : "removed"},
+                        {"revision", std::to_string(message.to.value)},
+                        {"source", source}},
+                       now);
+        }
         if (change.entry && targets_.put(*change.entry)) {
             changed.updated.push_back(*change.entry);
         }
@@ -382,7 +399,7 @@
 
 void entry_host::on(target_changes const& message)
 {
-    apply(message);
+    apply(message, "peer");
 }
 
 void entry_host::forward_changes(targets_changed const& changes)
