--- a/tests/peer/peer_view_test.cpp
+++ b/tests/peer/peer_view_test.cpp
@@ -65,8 +65,9 @@
                 ++sent_messages[from];
                 sent_bytes += encode_host_message(effect.message).size();
                 auto const to = hosts.find(ip);
-                bool const lost =
-                    dead.contains(ip) || partitioned.contains(from) != partitioned.contains(ip);
+                bool const lost = dead.contains(ip) ||
+                                  partitioned.contains(from) != partitioned.contains(ip) ||
+                                  on_silent_link(from, ip);
                 if (to != hosts.end() && !lost) {
                     deliver(ip, to->second.receive(std::get<gossip>(effect.message), now));
                 }
@@ -74,6 +75,9 @@
         }
     }
 
+    /** Lets each link fall silent until some time after the next message on it. */
+    void silence_links() { silenced = true; }
+
     std::set<std::string> serving_seen_by(std::string const& name)
     {
         std::set<std::string> out;
@@ -89,6 +93,17 @@
     std::map<std::string, int> sent_messages;
     std::size_t sent_bytes = 0;
     mono_time now = start;
+
+private:
+    bool on_silent_link(std::string const& from, std::string const& to)
+    {
+        constexpr milliseconds replacement{1750}; // TCP_USER_TIMEOUT and a new connection
+        return silenced &&
+               now < replaced_at.try_emplace({from, to}, now + replacement).first->second;
+    }
+
+    bool silenced = false;
+    std::map<std::pair<std::string, std::string>, mono_time> replaced_at; ///< by both ends
 };
 
 fleet three_zones()
@@ -149,6 +164,27 @@
     EXPECT_EQ(all.serving_seen_by("b2").size(), 6U);
 }
 
+TEST(host_view, keeps_all_zones_when_all_links_fall_silent)
+{
+    fleet all;
+    for (std::string const zone : {"a", "b", "c"}) {
+        for (int host = 1; host <= 14; ++host) {
+            all.add(zone + std::to_string(host), zone);
+        }
+    }
+    all.advance(milliseconds{8000});
+    all.silence_links();
+    constexpr milliseconds contact{3000};
+    all.advance(contact);
+    for (int tick = 0; tick < 80; ++tick) {
+        all.advance(host_view::tick_interval);
+        for (char const* const name : {"a1", "a7", "b2", "c14"}) {
+            ASSERT_EQ(all.hosts.at(std::string("ip-") + name).zones(all.now).size(), 3U)
+                << name << " " << tick;
+        }
+    }
+}
+
 TEST(host_view, announces_its_shutdown_to_all_hosts)
 {
     fleet all = three_zones();
