Probe idle connections to the store, targets and other hosts

Callers saw routes of old configurations and were sent to targets that had left. An idle connection was never tested: TCP_USER_TIMEOUT counts from unacknowledged bytes, and a waiting watch has none, so a dead one was believed for 9.5 s by all followers at once.

No call to the store is spent on it.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -91,8 +91,8 @@
     switch (answer.status) {
     case follow_status::done:
         retry_delays_.reset();
-        last_answer_ = read_clocks().mono;
         set_reachable(true, "");
+        last_answer_ = read_clocks().mono;
         at_ = listed_ ? std::max(at_, answer.at) : answer.at;
         listed_ = true;
         next_list_ = read_freshness::current;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -17,6 +17,27 @@
 namespace {
 
 constexpr int first_final_status = 200; ///< responses with a lower status (1xx) are interim ones
+constexpr int probe_interval_s = 1;     ///< between two keep-alive probes
+constexpr int max_probes = 1;           ///< unanswered ones that end a connection
+
+/** Sets an option of @p socket; one that fails leaves the defaults of the system. */
+template <class Value>
+void set_option(int socket, int level, int name, Value value)
+{
+    static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
+}
+
+/** Limits the time for which a connection that has fallen silent is kept, with or without data. */
+void limit_silence(int socket, exchange_limits const& limits)
+{
+    // TCP_USER_TIMEOUT also decides when the probes give up, whatever their count.
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<unsigned>(limits.tcp_user_timeout.count()));
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(limits.probe_idle.count()));
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, max_probes);
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+}
 
 } // namespace
 
@@ -71,9 +92,7 @@
             self->connect_time_ = read_clocks().mono - self->connect_started_;
             error_code ignored; // both options only save time; a dead socket fails on write
             self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-            unsigned const timeout = static_cast<unsigned>(self->limits_.tcp_user_timeout.count());
-            ::setsockopt(self->socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-                         sizeof timeout);
+            limit_silence(self->socket_.native_handle(), self->limits_);
             self->connected_ = true;
             self->reusable_ = true;
             done(error);
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -42,6 +42,8 @@
     std::uint32_t header_bytes = 64 * 1024; ///< of a response
     std::uint64_t body_bytes = 4 << 20;     ///< of a response, which is held in memory as a whole
     milliseconds tcp_user_timeout{1500};    ///< sent data unacknowledged for this long ends it
+    /// Time without traffic after which the peer is probed; no reply within a second ends it.
+    seconds probe_idle{2};
 };
 
 /**
