Notice a watch whose answer was lost within the drain time

A store that is silent for a moment loses answers, and a connection on which one was lost returns nothing more, though it is acknowledged and probes are answered. The watch was believed for 9.5 s; contact and drain together are 5 s on the shortest deployment.

The first follower of a zone now asks for answers after the drain time at the latest, and tells the zone what it finds; the second one keeps the long wait, as each call is charged. After a failure a watch without a wait tells at once whether the store is back; before, a host counted as cut off from the store until its next watch ended, up to 8 s, and others took its place.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -79,7 +79,8 @@
         on_answer(answer);
     };
     if (listed_) {
-        calls_.watch(at_, done);
+        // After a failure, an answer without delay tells that the store is back.
+        calls_.watch(at_, reachable_ ? longest_wait_ : milliseconds{0}, done);
     }
     else {
         calls_.list(next_list_, done);
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -32,7 +32,8 @@
 struct follow_calls {
     using done = std::function<void(follow_result)>;
     std::function<void(read_freshness, done)> list;
-    std::function<void(revision, done)> watch;
+    /// Waits for changes after the revision, at most for the given time.
+    std::function<void(revision, milliseconds, done)> watch;
     std::function<void()> abort; ///< cancels the pending call; its done is not called
     std::function<void(bool up, std::string const& detail)> reachable; ///< on each change
 };
@@ -73,6 +74,12 @@
      */
     void set_batch_delay(milliseconds delay) { batch_delay_ = delay; }
 
+    /**
+     * Sets how long a watch waits for changes. It bounds the delay until a watch whose answer was
+     * lost is noticed; each watch is charged.
+     */
+    void set_longest_wait(milliseconds wait) { longest_wait_ = wait; }
+
     /** @return whether the last call succeeded; true before the first one has ended. */
     [[nodiscard]] bool reachable() const { return reachable_; }
 
@@ -80,6 +87,7 @@
     [[nodiscard]] mono_time last_answer() const { return last_answer_; }
 
     static constexpr milliseconds default_batch_delay{150};
+    static constexpr milliseconds default_longest_wait{8000};
 
 private:
     void call_store();
@@ -91,6 +99,7 @@
     follow_calls calls_;
     backoff retry_delays_;
     milliseconds batch_delay_ = default_batch_delay;
+    milliseconds longest_wait_ = default_longest_wait;
     revision at_;
     bool active_ = false;
     bool listed_ = false;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -256,6 +256,10 @@
     bool const leads = view_.follows_store(1, now);
     target_follower_.set_batch_delay(
         fraction_of(settings_.drain, leads ? leader_batch_fraction : standby_batch_fraction));
+    for (follower* const each : {&config_follower_, &target_follower_, &evacuation_follower_}) {
+        // If an answer of the store is lost, the first follower of the zone notices in time.
+        each->set_longest_wait(leads ? settings_.drain : follower::default_longest_wait);
+    }
     config_follower_.set_active(follows_store_);
     target_follower_.set_active(follows_store_);
     evacuation_follower_.set_active(follows_store_);
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -20,9 +20,10 @@
             list_freshness = freshness;
             answer = std::move(done);
         };
-        out.watch = [this](revision from, follow_calls::done done) {
+        out.watch = [this](revision from, milliseconds wait, follow_calls::done done) {
             ++watches;
             watch_start = from;
+            watch_wait = wait;
             answer = std::move(done);
         };
         out.abort = [this] {
@@ -55,6 +56,7 @@
     int lost = 0;
     int regained = 0;
     revision watch_start;
+    milliseconds watch_wait{};
     read_freshness list_freshness = read_freshness::current;
     follower subject;
 };
@@ -121,6 +123,22 @@
     EXPECT_TRUE(subject.reachable());
 }
 
+TEST_F(follower_case, asks_without_a_wait_whether_a_lost_store_is_back)
+{
+    subject.set_active(true);
+    subject.set_longest_wait(milliseconds{4000});
+    subject.start(true);
+    reply(follow_status::done, 40);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_wait, milliseconds{4000});
+    reply(follow_status::failed);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_wait, milliseconds{0});
+    reply(follow_status::done, 40);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_wait, milliseconds{4000});
+}
+
 TEST_F(follower_case, lists_but_does_not_watch_while_inactive)
 {
     subject.start(true);
