Do not take a refusal that a target writes once more as the answer to another request

A faulty target wrote an earlier refusal ahead of the next answer on a kept connection. Without an id it was taken for the answer: a request that the target ran was sent to it a second time, and its client was told 'not run'. With an id it was taken for the answer if the same request came back over the same connection.

An answer without id counts only on a connection that has carried no request before, and a request is not sent again on a connection on which it was refused.

Tests that failed first: repeated_refusals without_id, too_many_without_id, other_target_without_id, bad_request_without_id, twice (two runs, 503) and a_request_that_was_refused_is_not_refused_again_by_the_same_answer (503). Answers that break off anywhere in head or body, by close or reset, do not happen to look complete here: broken_off_answers cuts them after each byte and held without a change.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -224,15 +224,20 @@
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(names_.expected_target, effect.target.value);
     message.prepare_payload();
-    open.connection = pool_.acquire(effect.target, effect.address, effect.idempotent);
+    open.connection =
+        pool_.acquire(effect.target, effect.address, effect.idempotent, open.attempt_id);
     bool const fresh = !open.connection->connected();
     if (fresh) {
         limit_connect_time(open.connection);
     }
+    bool const carried_others = open.connection->idle_since != mono_time{};
     open.connection->exchange(
         std::move(message),
-        [this, attempt_id = open.attempt_id](http_response const& response) {
-            return match(attempt_id, response);
+        [this, attempt_id = open.attempt_id, carried_others](http_response const& response) {
+            // A faulty target may repeat a refusal of an earlier request.
+            bool const has_id = response.count(names_.attempt_id) > 0;
+            return has_id || !carried_others ? match(attempt_id, response)
+                                             : response_match::other_request;
         },
         [this, effect, fresh](exchange_result result) {
             on_exchange_end(effect.id, effect, fresh, std::move(result));
@@ -263,7 +268,7 @@
     message.set(client_field, open.client);
     message.prepare_payload();
     open.connection =
-        relay_pool_.acquire(target_id(effect.address), effect.address, effect.idempotent);
+        relay_pool_.acquire(target_id(effect.address), effect.address, effect.idempotent, "");
     if (!open.connection->connected()) {
         limit_connect_time(open.connection);
     }
@@ -411,6 +416,9 @@
     if (result.outcome == exchange_outcome::answered) {
         event.load = parse_load(result.response);
         event.notice = parse_notice(result.response);
+        if (event.end == attempt_end::refused || event.end == attempt_end::wrong_target) {
+            connection->refused_here.push_back(open.attempt_id);
+        }
         pool_.release(attempt.target, connection);
     }
     if (event.end != attempt_end::succeeded) {
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -13,6 +13,7 @@
 /// Fraction of the idle limit within which a connection is certainly still open, so that it can
 /// carry a request that must not run twice.
 constexpr double safe_idle_fraction = 0.5;
+constexpr std::size_t max_refused_ids = 32; ///< on one connection
 constexpr milliseconds sweep_interval{1000};
 /// A few round trips between regions; the retry of the request waits for it.
 constexpr milliseconds probe_timeout{250};
@@ -41,13 +42,18 @@
 
 target_connection_pool::connection target_connection_pool::acquire(target_id const& target,
                                                                    std::string const& address,
-                                                                   bool idempotent)
+                                                                   bool idempotent,
+                                                                   std::string const& attempt_id)
 {
     mono_time const now = read_clocks().mono;
     auto& idle = idle_[target];
-    while (!idle.empty()) {
-        connection const last = idle.back();
-        idle.pop_back();
+    for (auto next = idle.end(); next != idle.begin();) {
+        connection const last = *--next;
+        auto const& refused = last->refused_here;
+        if (std::find(refused.begin(), refused.end(), attempt_id) != refused.end()) {
+            continue;
+        }
+        next = idle.erase(next);
         auto const fraction = idempotent ? 1.0 : safe_idle_fraction;
         auto const longest =
             std::chrono::duration<double, std::milli>(idle_limit(*last)) * fraction;
@@ -61,7 +67,7 @@
 
 void target_connection_pool::release(target_id const& target, connection released)
 {
-    if (!released->usable()) {
+    if (!released->usable() || released->refused_here.size() >= max_refused_ids) {
         released->close();
         return;
     }
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -37,9 +37,12 @@
      * @param idempotent whether the request may run twice, so that a connection that the target has
      * just closed costs only a retry. Other requests get a connection only while the
      * target certainly keeps it open.
+     * @param attempt_id of the request. A connection on which it was refused is not used, because a
+     * faulty target may write that refusal once more.
      * @return an idle connection, or a new one that connects with its first request.
      */
-    connection acquire(target_id const& target, std::string const& address, bool idempotent);
+    connection acquire(target_id const& target, std::string const& address, bool idempotent,
+                       std::string const& attempt_id);
 
     /** Returns a connection to the pool, or closes it if it cannot be used for another request. */
     void release(target_id const& target, connection released);
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cove {
 
@@ -93,7 +94,9 @@
     /** @return the time it took to establish the connection; zero before that. */
     [[nodiscard]] microseconds connect_time() const { return connect_time_; }
 
-    mono_time idle_since{}; ///< set by the owner when it keeps the connection for reuse
+    // State that the owner keeps with the connection:
+    mono_time idle_since{};                ///< when it was last kept for reuse; zero before that
+    std::vector<std::string> refused_here; ///< ids of the requests that the peer has refused on it
 
 private:
     void send();
--- /dev/null
+++ b/tests/host/faulty_answer_test.cpp
@@ -0,0 +1,139 @@
+/** @file Targets that repeat refusals or break off their answers. */
+
+#include "support/host_case.h"
+
+namespace cove {
+namespace {
+
+class faulty_answers : public host_case {
+protected:
+    unsigned ask_as(std::string const& attempt, std::string const& target)
+    {
+        http_request request(boost::beast::http::verb::put, target, 11);
+        request.set(boost::beast::http::field::host, "desk.example");
+        request.set("Attempt", attempt);
+        request.set("Deadline", "1500");
+        request.prepare_payload();
+        return exchange_once(loop, client_address, std::move(request)).response.result_int();
+    }
+
+    static std::string served_as(std::string const& attempt)
+    {
+        return response("200 OK", "Attempt: " + attempt + "\r\nSignature: s\r\n", "whole body");
+    }
+};
+
+struct refusal_case {
+    char const* name;
+    std::string repeated; ///< bytes before the answer to the second request
+};
+
+class repeated_refusals : public faulty_answers,
+                          public testing::WithParamInterface<refusal_case> {};
+
+TEST_P(repeated_refusals, are_not_taken_as_the_answer_to_a_request_that_runs)
+{
+    int runs = 0;
+    auto const script = [&](std::string const& head) {
+        if (head.find("Attempt: a1\r\n") != std::string::npos) {
+            return scripted_answer{served_as("a1"), connection_action::keep};
+        }
+        ++runs;
+        return scripted_answer{GetParam().repeated + served_as("a2"), connection_action::keep};
+    };
+    scripted_server one(loop, script);
+    list({&one});
+    configure(1, "/a/", false);
+    ASSERT_EQ(ask_as("a1", "/a/1"), 200U);
+    unsigned const got = ask_as("a2", "/a/2");
+    EXPECT_TRUE(got == 200 || got == 502 || got == 504) << got;
+    EXPECT_EQ(runs, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, repeated_refusals,
+    testing::Values(refusal_case{"with_its_id",
+                                 response("503 Busy", "Attempt: a0\r\nNot-Run: 1\r\n")},
+                    refusal_case{"without_id", response("503 Busy", "Not-Run: 1\r\n")},
+                    refusal_case{"too_many_without_id", response("429 Many", "Not-Run: 1\r\n")},
+                    refusal_case{"other_target_without_id", response("421 Other", "")},
+                    refusal_case{"bad_request_without_id", response("400 Bad", "Not-Run: 1\r\n")},
+                    refusal_case{"twice", response("503 Busy", "Not-Run: 1\r\n") +
+                                              response("503 Busy", "Not-Run: 1\r\n")}),
+    [](auto const& info) { return info.param.name; });
+
+TEST_F(faulty_answers, a_request_that_was_refused_is_not_refused_again_by_the_same_answer)
+{
+    int arrivals = 0;
+    std::string const refusal = response("503 Busy", "Attempt: a1\r\nNot-Run: 1\r\n");
+    scripted_server one(loop, [&](std::string const&) {
+        bool const first = arrivals++ == 0;
+        // A kept connection gets the refusal once more, ahead of the next answer.
+        bool const kept = !first && one.connections == 1;
+        return scripted_answer{first ? refusal : (kept ? refusal : "") + served_as("a1"),
+                               connection_action::keep};
+    });
+    list({&one});
+    configure(1, "/a/", false);
+    unsigned const got = ask_as("a1", "/a/1");
+    EXPECT_TRUE(got == 200 || got == 502 || got == 504) << got;
+    EXPECT_EQ(arrivals, 2);
+}
+
+struct broken_case {
+    char const* name;
+    std::string answer;
+    std::size_t whole_from; ///< bytes after which the answer is whole
+    connection_action then;
+    bool idempotent;
+};
+
+class broken_off_answers : public faulty_answers,
+                           public testing::WithParamInterface<broken_case> {};
+
+TEST_P(broken_off_answers, never_look_complete)
+{
+    std::size_t length = 0;
+    scripted_server target(loop, [&](std::string const&) {
+        return scripted_answer{GetParam().answer.substr(0, length), GetParam().then};
+    });
+    list({&target});
+    configure(1, "/a/", GetParam().idempotent);
+    for (length = 0; length <= GetParam().answer.size(); ++length) {
+        auto const got = ask(client_address, "/a/1");
+        if (length < GetParam().whole_from) {
+            EXPECT_GE(got.response.result_int(), 500U) << length << " " << got.response.body();
+            EXPECT_NE(got.response.result_int(), 503U) << length; // it may have run
+        }
+        else {
+            EXPECT_EQ(got.response.result_int(), 200U) << length;
+            EXPECT_EQ(got.response.body(), "whole body") << length;
+        }
+    }
+}
+
+std::string const with_length = response("200 OK", "Attempt: a1\r\nSignature: s\r\n", "whole body");
+std::string const in_chunks =
+    "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n5\r\n body\r\n0\r\n\r\n";
+std::string const until_close = "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n\r\nwhole body";
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, broken_off_answers,
+    testing::Values(
+        broken_case{"closed", with_length, with_length.size(), connection_action::close, false},
+        broken_case{"reset", with_length, with_length.size(), connection_action::reset, false},
+        broken_case{"closed_repeatable", with_length, with_length.size(), connection_action::close,
+                    true},
+        broken_case{"chunks_closed", in_chunks, in_chunks.size(), connection_action::close, false},
+        broken_case{"chunks_reset", in_chunks, in_chunks.size(), connection_action::reset, false},
+        // A close is the end of such an answer, so that only its head can break off visibly.
+        broken_case{"head_without_length_closed",
+                    until_close.substr(0, until_close.find("\r\n\r\n")), std::string::npos,
+                    connection_action::close, false},
+        broken_case{"without_length_reset", until_close, std::string::npos,
+                    connection_action::reset, false}),
+    [](auto const& info) { return info.param.name; });
+
+} // namespace
+} // namespace cove
