--- a/src/config/config_json.cpp
+++ b/src/config/config_json.cpp
@@ -193,7 +193,7 @@
     try {
         return read(parse_unique_keys(text));
     }
-    catch (json::parse_error const& error) {
+    catch (json::exception const& error) {
         return fail("json.parse", source + "#", error.what());
     }
     catch (format_error const& error) {
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "config/json_reader.h"
 
+#include "json/json_text.h"
+
 #include <ctime>
 
 namespace cove {
@@ -51,6 +53,9 @@
 {
     using json = nlohmann::json;
     std::vector<open_value> path;
+    if (nesting_depth(text) > max_json_depth) {
+        throw format_error{json_pointer(), "nested too deep"};
+    }
     auto const visit = [&path](int, json::parse_event_t event, json& parsed) {
         switch (event) {
         case json::parse_event_t::object_start:
--- a/src/ctl/fleet_status.cpp
+++ b/src/ctl/fleet_status.cpp
@@ -3,9 +3,9 @@
 #include "core/address.h"
 #include "net/caller_api.h"
 #include "net/threaded_http_server.h"
+#include "json/json_text.h"
 
 #include <atomic>
-#include <nlohmann/json.hpp>
 
 namespace cove {
 
@@ -26,7 +26,8 @@
                     response ? "HTTP status " + std::to_string(response->status)
                              : httplib::to_string(response.error()));
     }
-    auto const body = nlohmann::json::parse(response->body, nullptr, false);
+    auto const parsed = parse_json(response->body, host.caller_address);
+    nlohmann::json const body = parsed.value_or(nullptr);
     if (!body.is_object() || !body.contains("generation") ||
         !body["generation"].is_number_unsigned()) {
         return fail("status.read", host.caller_address,
--- a/src/entry/target_poller.cpp
+++ b/src/entry/target_poller.cpp
@@ -2,8 +2,7 @@
 
 #include "core/address.h"
 #include "net/target_api.h"
-
-#include <nlohmann/json.hpp>
+#include "json/json_text.h"
 
 namespace cove {
 
@@ -69,10 +68,11 @@
         return;
     }
     auto const health_response = client->Get(target_api::health_path);
-    auto const reported = nlohmann::json::parse(load_response->body, nullptr, false);
-    if (!health_response || !reported.is_object()) {
+    auto const parsed = parse_json(load_response->body, address);
+    if (!health_response || !parsed || !parsed->is_object()) {
         return;
     }
+    nlohmann::json const& reported = *parsed;
     try {
         report_({target, health_response->status == ok_status, reported.value("leaving", false),
                  reported.value("in_flight", 0), reported.value("slots", 0)});
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -7,16 +7,6 @@
 
 namespace cove {
 
-result<nlohmann::json> parse_json(std::string_view text, std::string const& source)
-{
-    try {
-        return nlohmann::json::parse(text);
-    }
-    catch (nlohmann::json::parse_error const& error) {
-        return fail("json.parse", source, error.what());
-    }
-}
-
 std::optional<milliseconds> parse_duration(std::string_view text)
 {
     constexpr double ms_per_second = 1000;
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -4,6 +4,7 @@
 #include "core/address.h"
 #include "core/error.h"
 #include "core/time_type.h"
+#include "json/json_text.h"
 
 #include <functional>
 #include <limits>
@@ -15,9 +16,6 @@
 
 namespace cove {
 
-/** Parses JSON text. @param source name of the input, for error messages. */
-result<nlohmann::json> parse_json(std::string_view text, std::string const& source);
-
 /** @return the duration in @p text, a number with unit ms or s; nothing if it is invalid. */
 std::optional<milliseconds> parse_duration(std::string_view text);
 
