--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -91,6 +91,9 @@
     /** @return the idle timeout that the peer announced in Keep-Alive, if any. */
     [[nodiscard]] std::optional<seconds> keep_alive() const { return keep_alive_; }
 
+    /** @return bytes received since the last request was sent. */
+    [[nodiscard]] std::uint64_t received() const { return received_; }
+
     /** @return the time it took to establish the connection; zero before that. */
     [[nodiscard]] microseconds connect_time() const { return connect_time_; }
 
