--- a/tests/peer/peer_view_test.cpp
+++ b/tests/peer/peer_view_test.cpp
@@ -76,7 +76,7 @@
     }
 
     /** Lets each link fall silent until some time after the next message on it. */
-    void silence_links() { silenced = true; }
+    void silence_links() { silenced_ = true; }
 
     std::set<std::string> serving_seen_by(std::string const& name)
     {
@@ -98,12 +98,12 @@
     bool on_silent_link(std::string const& from, std::string const& to)
     {
         constexpr milliseconds replacement{1750}; // TCP_USER_TIMEOUT and a new connection
-        return silenced &&
-               now < replaced_at.try_emplace({from, to}, now + replacement).first->second;
+        return silenced_ &&
+               now < replaced_at_.try_emplace({from, to}, now + replacement).first->second;
     }
 
-    bool silenced = false;
-    std::map<std::pair<std::string, std::string>, mono_time> replaced_at; ///< by both ends
+    bool silenced_ = false;
+    std::map<std::pair<std::string, std::string>, mono_time> replaced_at_; ///< by both ends
 };
 
 fleet three_zones()
