Measure how late the loop of an entry host runs and which work occupies it

Change: histograms of the delay of timers and of the time for which a request had been received before it was read; time and count of work by kind of event, of messages of hosts and of answers of the store; lines loop_late (with processor time and the longest work) and request_read_late. traffic-bench measures single events of the traffic reducer by targets and waiting requests. No logic is changed.

--- /dev/null
+++ b/src/bench/traffic_bench.cpp
@@ -0,0 +1,146 @@
+/**
+ * @file traffic-bench: cost of single events in the traffic reducer, with all slots of a zone
+ * taken; prints one JSON line per size.
+ */
+
+#include "traffic/traffic.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using namespace cove;
+
+constexpr int slots = 6;
+constexpr int objects = 600;
+constexpr int rounds = 100;
+constexpr milliseconds tick{20};
+
+/** A host whose targets are all busy while further requests wait. */
+class busy_host {
+public:
+    busy_host(int targets, int waiting)
+        : reducer_({node_id("h0"), zone_id("z"), {{zone_id("z"), region_id("r")}}, {}, 1, {}})
+    {
+        route_.name = route_id("route");
+        route_.timeout = seconds{100};
+        route_.objective = seconds{1};
+        route_.max_attempts = 2;
+        route_.sticky = true;
+        services_listed services;
+        services.services[service_] = {service_, "/health", 100, milliseconds{3000}, 4};
+        reducer_.reduce(services, now_);
+        targets_listed list;
+        for (int i = 0; i < targets; ++i) {
+            target_entry entry;
+            entry.id = target_id("target-" + std::to_string(i));
+            entry.service = service_;
+            entry.address = "10.0.0.1:80";
+            entry.zone = zone_id("z");
+            entry.slots = slots;
+            list.entries.push_back(entry);
+        }
+        reducer_.reduce(list, now_);
+        for (int i = 0; i < targets * slots + waiting; ++i) {
+            arrive(i >= targets * slots);
+        }
+    }
+
+    /** @param has_object whether the request prefers a target by its object. */
+    void arrive(bool has_object = true)
+    {
+        request_arrived event;
+        event.id = request_id(++last_id_);
+        event.route = std::make_shared<route_config const>(route_);
+        event.service = service_;
+        if (has_object) {
+            event.object = object_key("object-" + std::to_string(last_id_ * 7 % objects));
+        }
+        event.deadline = seconds{100};
+        perform(reducer_.reduce(event, now_));
+    }
+
+    /** Ends the oldest attempt with success. */
+    void end_attempt()
+    {
+        now_ += milliseconds{1};
+        auto const [id, target] = running_.front();
+        running_.erase(running_.begin());
+        attempt_ended event;
+        event.id = id;
+        event.target = target;
+        event.end = attempt_end::succeeded;
+        perform(reducer_.reduce(event, now_));
+    }
+
+    void run_tick()
+    {
+        now_ += tick;
+        perform(reducer_.reduce(timer_tick{}, now_));
+    }
+
+private:
+    void perform(traffic_effects const& effects)
+    {
+        for (traffic_effect const& effect : effects) {
+            if (auto const* const sent = std::get_if<send_attempt>(&effect)) {
+                running_.emplace_back(sent->id, sent->target);
+            }
+        }
+    }
+
+    service_id service_{"service"};
+    route_config route_;
+    traffic reducer_;
+    mono_time now_{seconds{100}};
+    std::uint64_t last_id_ = 0;
+    std::vector<std::pair<request_id, target_id>> running_;
+};
+
+/** @return the mean time of a call of @p work, in microseconds. */
+template <class Work>
+double average_us(Work work)
+{
+    std::chrono::duration<double, std::micro> spent{};
+    for (int i = 0; i < rounds; ++i) {
+        spent += work();
+    }
+    return spent.count() / rounds;
+}
+
+template <class Work>
+std::chrono::steady_clock::duration time_of(Work work)
+{
+    auto const started = std::chrono::steady_clock::now();
+    work();
+    return std::chrono::steady_clock::now() - started;
+}
+
+} // namespace
+
+int main()
+{
+    for (auto const& [targets, waiting] :
+         {std::pair{112, 0}, {112, 64}, {112, 162}, {112, 648}, {224, 224}, {1215, 162}}) {
+        busy_host host(targets, waiting);
+        double const ended = average_us([&] {
+            auto const spent = time_of([&] { host.end_attempt(); });
+            host.arrive();
+            return spent;
+        });
+        double const arrived = average_us([&] {
+            auto const spent = time_of([&] { host.arrive(); });
+            host.end_attempt();
+            return spent;
+        });
+        double const ticked = average_us([&] { return time_of([&] { host.run_tick(); }); });
+        std::cout << nlohmann::json{{"targets", targets},
+                                    {"waiting", waiting},
+                                    {"attempt_ended_us", ended},
+                                    {"request_arrived_us", arrived},
+                                    {"timer_tick_us", ticked}}
+                  << "\n";
+    }
+    return 0;
+}
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <random>
 
 namespace cove {
@@ -42,6 +43,10 @@
 /// Room in the head of a relayed request for the fields that the other host adds.
 constexpr std::uint32_t relay_header_bytes = 1024;
 constexpr double bulk_answer_bytes_per_second = 400'000;
+/// A client gives up a host that has not read its request after a second; this is a warning before.
+constexpr milliseconds reported_delay{200};
+/// `loop_late` lines cover the work since the last note.
+constexpr milliseconds work_note_interval{1000};
 
 std::uint64_t random_seed()
 {
@@ -73,6 +78,15 @@
         settings.shift_cap,     settings.crash_retention};
 }
 
+/** @return the processor time that this process has used so far. */
+microseconds process_cpu_time()
+{
+    timespec used{};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::duration_cast<microseconds>(seconds(used.tv_sec) +
+                                                    std::chrono::nanoseconds(used.tv_nsec));
+}
+
 std::string to_text_ms(microseconds time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
@@ -90,12 +104,13 @@
                        std::function<store_calls(store_hooks)> const& connect_store)
     : loop_(loop), timers_(timers), settings_(std::move(settings)), wire_(std::move(wire)),
       reload_settings_(std::move(reload_settings)),
-      forwarder_(loop, timers, wire_.names, make_traffic_settings(settings_), log_),
+      forwarder_(loop, timers, wire_.names, make_traffic_settings(settings_), log_, monitor_),
       clients_(loop, timers,
                {[this](call_id call, http_request request) {
                     forwarder_.on_request(call, std::move(request));
                 },
-                [this](call_id call) { forwarder_.on_client_disconnected(call); }}),
+                [this](call_id call) { forwarder_.on_client_disconnected(call); },
+                [this](milliseconds time) { report_unread(time); }}),
       readiness_(
           loop, timers,
           {[this](call_id call, http_request const& request) { answer_readiness(call, request); },
@@ -125,6 +140,7 @@
       shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
       started_(read_clocks().mono), quota_division_(node_id(settings_.name))
 {
+    timers_.on_delay([this](microseconds delay) { report_delay(delay); });
     forwarder_.attach(clients_, relays_);
     forwarder_.on_links_changed([this](bool) {
         // Not at once, as the reducer's effects are still being carried out.
@@ -167,6 +183,7 @@
             view_.add_contact(host.name, host.zone, host.ip);
         }
     };
+    out.answer_processed = [this](microseconds time) { monitor_.add_work("store_answer", time); };
     out.malformed = [this](std::string const& place, std::string const& reason) {
         log_.event("malformed_object", {{"place", place}, {"reason", reason}}, read_clocks().mono);
     };
@@ -297,6 +314,41 @@
     timers_.once(now + store_retry_delay * failures, std::move(call));
 }
 
+/** Logs that the loop is so late that clients may notice, and what occupied it. */
+void entry_host::report_delay(microseconds delay)
+{
+    monitor_.add_delay(delay);
+    mono_time const now = read_clocks().mono;
+    bool const late = delay >= reported_delay;
+    if (!late && now < work_noted_ + work_note_interval) {
+        return;
+    }
+    auto const longest = monitor_.take_longest();
+    microseconds const cpu = process_cpu_time();
+    if (late) {
+        log_.event("loop_late",
+                   {{"late_ms", to_text_ms(delay)},
+                    {"since_ms", to_text_ms(now - work_noted_)},
+                    {"cpu_ms", to_text_ms(cpu - cpu_noted_)},
+                    {"longest_work", longest.kind},
+                    {"longest_ms", to_text_ms(longest.time)},
+                    {"open", std::to_string(forwarder_.open_requests())},
+                    {"queued", std::to_string(forwarder_.queued_requests())}},
+                   now);
+    }
+    cpu_noted_ = cpu;
+    work_noted_ = now;
+}
+
+void entry_host::report_unread(milliseconds time)
+{
+    monitor_.add_unread(time);
+    if (time >= reported_delay) {
+        log_.event("request_read_late", {{"unread_ms", std::to_string(time.count())}},
+                   read_clocks().mono);
+    }
+}
+
 void entry_host::watch_signals()
 {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
@@ -521,7 +573,7 @@
 {
     mono_time const now = read_clocks().mono;
     known_versions const known = versions();
-    std::string out = forwarder_.metrics().prometheus();
+    std::string out = forwarder_.metrics().prometheus() + monitor_.prometheus();
     auto const gauge = [&out](std::string const& name, std::uint64_t value) {
         out += "# TYPE cove_" + name + " gauge\ncove_" + name + " " + std::to_string(value) + "\n";
     };
@@ -531,6 +583,9 @@
     gauge("targets", targets_.entries().size());
     gauge("evacuated_zones", evacuated_.size());
     gauge("open_requests", forwarder_.open_requests());
+    gauge("queued_requests", forwarder_.queued_requests());
+    out += "# TYPE cove_ranked_requests counter\ncove_ranked_requests " +
+           std::to_string(forwarder_.ranked_requests()) + "\n";
     gauge("client_connections", clients_.connections());
     update_serving_hosts(now);
     gauge("serving_hosts", directory_hosts_.size());
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -59,6 +59,8 @@
     void list_hosts(int failures);
     void retry_store_call(std::string const& failed, int failures, std::function<void()> call);
     void watch_signals();
+    void report_delay(microseconds delay);
+    void report_unread(milliseconds time);
     void reload();
     void start_leaving();
     void finish_leaving();
@@ -106,6 +108,9 @@
     host_wire_format wire_;
     settings_source reload_settings_;
     log_limiter log_;
+    loop_monitor monitor_;
+    mono_time work_noted_{};   ///< when monitor_'s longest work was last taken
+    microseconds cpu_noted_{}; ///< processor time of this process until then
     request_forwarder forwarder_;
     http_server clients_;
     http_server readiness_;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -73,7 +73,7 @@
 {
     mono_time const now = read_clocks().mono;
     forward_changes({{}, targets_.expire(now)});
-    send(view_.tick(state(), now));
+    monitor_.measure("send_reports", [&] { send(view_.tick(state(), now)); });
     report_peers(now);
     update_store_following(now);
     pull_if_behind(now);
@@ -191,7 +191,8 @@
                    read_clocks().mono);
         return;
     }
-    std::visit([this](auto const& body) { on(body); }, *message);
+    monitor_.measure(kind_of(*message),
+                     [&] { std::visit([this](auto const& body) { on(body); }, *message); });
 }
 
 void entry_host::on(gossip const& message)
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -4,6 +4,7 @@
 #include "http/forwarding.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdio>
 
@@ -81,6 +82,16 @@
     return buffer;
 }
 
+char const* kind_of(traffic_event const& event)
+{
+    constexpr std::array<char const*, std::variant_size_v<traffic_event>> kinds{
+        "request_arrived",  "attempt_ended",           "client_disconnected", "targets_listed",
+        "targets_changed",  "evacuations_listed",      "services_listed",     "peers_reported",
+        "crashes_reported", "crash_retention_changed", "relay_ended",         "probe_ended",
+        "timer_tick"};
+    return kinds.at(event.index());
+}
+
 char const* name_of(refusal reason)
 {
     switch (reason) {
@@ -115,9 +126,9 @@
 
 request_forwarder::request_forwarder(boost::asio::io_context& loop, loop_timers& timers,
                                      header_names names, traffic_settings settings,
-                                     log_limiter& log)
-    : timers_(timers), names_(std::move(names)), log_(log), traffic_(std::move(settings)),
-      pool_(loop, timers), relay_pool_(loop, timers)
+                                     log_limiter& log, loop_monitor& monitor)
+    : timers_(timers), names_(std::move(names)), log_(log), monitor_(monitor),
+      traffic_(std::move(settings)), pool_(loop, timers), relay_pool_(loop, timers)
 {
     tick_ = timers_.every(tick_interval, [this] {
         if (traffic_.needs_ticks()) {
@@ -133,9 +144,11 @@
 
 void request_forwarder::feed(traffic_event const& event)
 {
-    for (traffic_effect const& effect : traffic_.reduce(event, read_clocks().mono)) {
-        std::visit([this](auto const& what) { execute(what); }, effect);
-    }
+    monitor_.measure(kind_of(event), [&] {
+        for (traffic_effect const& effect : traffic_.reduce(event, read_clocks().mono)) {
+            std::visit([this](auto const& what) { execute(what); }, effect);
+        }
+    });
 }
 
 void request_forwarder::on_request(call_id call, http_request request)
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -5,6 +5,7 @@
 #include "http/server.h"
 #include "log/log_limiter.h"
 #include "metrics/latency_metrics.h"
+#include "metrics/loop_monitor.h"
 #include "route/route_table.h"
 #include "route/weighted_round_robin.h"
 #include "traffic/traffic.h"
@@ -30,7 +31,7 @@
 class request_forwarder {
 public:
     request_forwarder(boost::asio::io_context& loop, loop_timers& timers, header_names names,
-                      traffic_settings settings, log_limiter& log);
+                      traffic_settings settings, log_limiter& log, loop_monitor& monitor);
     ~request_forwarder();
     request_forwarder(request_forwarder const&) = delete;
     request_forwarder& operator=(request_forwarder const&) = delete;
@@ -86,6 +87,8 @@
     [[nodiscard]] std::uint64_t relayed_requests() const { return relayed_requests_; }
     [[nodiscard]] std::uint64_t blocked_requests() const { return blocked_requests_; }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    [[nodiscard]] std::size_t queued_requests() const { return traffic_.queued_requests(); }
+    [[nodiscard]] std::uint64_t ranked_requests() const { return traffic_.ranked_requests(); }
     [[nodiscard]] route_table const* routes() const { return routes_.get(); }
     [[nodiscard]] latency_metrics const& metrics() const { return metrics_; }
 
@@ -132,6 +135,7 @@
     loop_timers& timers_;
     header_names names_;
     log_limiter& log_;
+    loop_monitor& monitor_;
     traffic traffic_;
     target_connection_pool pool_;
     target_connection_pool relay_pool_; ///< connections to other hosts, by their address
--- a/src/host/store_calls.h
+++ b/src/host/store_calls.h
@@ -40,6 +40,8 @@
         evacuations_changed; ///< true: evacuation started; false: ended
     std::function<void(std::vector<host_record>)> hosts_listed;
     std::function<void(std::string const& place, std::string const& reason)> malformed;
+    /// The time that it took to read and apply an answer.
+    std::function<void(microseconds)> answer_processed = nullptr;
 };
 
 /** The calls to the store, implemented by the platform's client. */
--- a/src/http/loop_timers.cpp
+++ b/src/http/loop_timers.cpp
@@ -59,6 +59,9 @@
 void loop_timers::run_due()
 {
     mono_time const now = read_clocks().mono;
+    if (report_delay_ && !queue_.empty() && queue_.begin()->first <= now) {
+        report_delay_(now - queue_.begin()->first); // the first one is the latest
+    }
     while (!queue_.empty() && queue_.begin()->first <= now) {
         entry due = std::move(queue_.begin()->second);
         queue_.erase(queue_.begin());
--- a/src/http/loop_timers.h
+++ b/src/http/loop_timers.h
@@ -27,6 +27,9 @@
     /** Calls @p fn once at @p at. @return a handle for cancel(). */
     subscription once(mono_time at, callback fn);
 
+    /** @param report called when timers run, with the time by which the latest of them is late. */
+    void on_delay(std::function<void(microseconds)> report) { report_delay_ = std::move(report); }
+
     /** Cancels a timer. @param id handle of the timer; that of an ended one is ignored. */
     void cancel(subscription id);
 
@@ -44,6 +47,7 @@
     boost::asio::steady_timer timer_;
     std::multimap<mono_time, entry> queue_;
     std::map<subscription, mono_time> due_times_; ///< key of each subscription in queue_
+    std::function<void(microseconds)> report_delay_;
     subscription next_id_ = 1;
     mono_time armed_for_ = mono_time::max(); ///< when timer_ expires; max if not armed
 };
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -32,6 +32,8 @@
     std::function<void(call_id, http_request)> request; ///< a complete request was received
     /// The client disconnected before the response.
     std::function<void(call_id)> client_disconnected;
+    /// A request was read; its last bytes had been received this long before. May be empty.
+    std::function<void(milliseconds)> unread = nullptr;
 };
 
 class server_connection;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace cove {
@@ -20,6 +21,17 @@
 constexpr milliseconds no_timeout = milliseconds::max();
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/** @return the time since the last bytes on @p socket were received; nullopt if unknown. */
+std::optional<milliseconds> time_since_receive(int socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return std::nullopt;
+    }
+    return milliseconds(info.tcpi_last_data_recv);
+}
+
 bool expects_continue(http_request const& request)
 {
     return boost::beast::iequals(request[http::field::expect], "100-continue");
@@ -147,6 +159,11 @@
 void server_connection::dispatch_request()
 {
     enter_phase(phase::call, no_timeout);
+    if (server_.hooks_.unread) {
+        if (auto const unread = time_since_receive(socket_.native_handle())) {
+            server_.hooks_.unread(*unread);
+        }
+    }
     http_request request = parser_->release();
     keep_alive_ = request.keep_alive();
     is_head_ = request.method() == http::verb::head;
--- a/src/metrics/latency_metrics.cpp
+++ b/src/metrics/latency_metrics.cpp
@@ -69,6 +69,8 @@
 {
     constexpr double us_per_s = 1'000'000;
     std::ostringstream out;
+    std::string const separator = labels.empty() ? "" : ",";
+    std::string const own_labels = labels.empty() ? "" : "{" + labels + "}";
     std::uint64_t cumulative = 0;
     for (auto&& bin : bh::indexed(impl_->bins, bh::coverage::all)) {
         if (*bin == 0) {
@@ -77,13 +79,13 @@
         cumulative += *bin;
         double const edge = bin.bin().upper();
         if (std::isfinite(edge)) {
-            out << name << "_bucket{" << labels << ",le=\"" << edge / us_per_s << "\"} "
+            out << name << "_bucket{" << labels << separator << "le=\"" << edge / us_per_s << "\"} "
                 << cumulative << "\n";
         }
     }
-    out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << impl_->count << "\n"
-        << name << "_sum{" << labels << "} " << impl_->sum_us / us_per_s << "\n"
-        << name << "_count{" << labels << "} " << impl_->count << "\n";
+    out << name << "_bucket{" << labels << separator << "le=\"+Inf\"} " << impl_->count << "\n"
+        << name << "_sum" << own_labels << " " << impl_->sum_us / us_per_s << "\n"
+        << name << "_count" << own_labels << " " << impl_->count << "\n";
     return out.str();
 }
 
--- a/src/metrics/latency_metrics.h
+++ b/src/metrics/latency_metrics.h
@@ -35,7 +35,7 @@
 
     /**
      * @param name of the metric.
-     * @param labels as `a="b",c="d"`.
+     * @param labels as `a="b",c="d"`; may be empty.
      * @return the histogram in the Prometheus text format.
      */
     [[nodiscard]] std::string prometheus(std::string const& name, std::string const& labels) const;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -583,6 +583,15 @@
     return out;
 }
 
+std::size_t traffic::queued_requests() const
+{
+    std::size_t count = 0;
+    for (auto const& [service, queue] : queues_) {
+        count += queue.size();
+    }
+    return count;
+}
+
 std::map<std::uint32_t, int> traffic::in_flight_by_target(mono_time now) const
 {
     std::map<std::uint32_t, int> out;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -124,6 +124,12 @@
     /** @return number of requests that are queued or in progress. */
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
 
+    /** @return number of requests that wait for a target. */
+    [[nodiscard]] std::size_t queued_requests() const;
+
+    /** @return how often a request was compared with the targets so far; measures the work. */
+    [[nodiscard]] std::uint64_t ranked_requests() const { return ranked_requests_; }
+
 private:
     void on(request_arrived const& event);
     void on(attempt_ended const& event);
@@ -215,6 +221,7 @@
     std::vector<node_id> hosts_in_zone_; ///< includes this host; empty before the first report
     bool zone_peers_known_ = true;       ///< see peers_reported
     int hosts_in_total_ = 1;
+    std::uint64_t ranked_requests_ = 0;
 };
 
 } // namespace cove
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -178,6 +178,7 @@
                                             std::vector<placement_candidate>& candidates,
                                             std::vector<std::size_t> const& ranks)
 {
+    ++ranked_requests_;
     auto const hits =
         preferred_hit_rates_
             .try_emplace(request.service, mean_sample_weight, initial_preferred_hit_rate)
--- a/tests/host/entry_host_test.cpp
+++ b/tests/host/entry_host_test.cpp
@@ -224,7 +224,9 @@
     std::string const& text = answer.response.body();
     for (char const* const line :
          {"cove_config_version 7\n", "cove_targets_revision 9\n", "cove_targets 1\n",
-          "cove_log_lines_left_out 0\n", "outcome=\"served\""}) {
+          "cove_log_lines_left_out 0\n", "outcome=\"served\"", "cove_loop_delay_seconds_count ",
+          "cove_request_unread_seconds_count 1\n",
+          "cove_loop_work_seconds_count{kind=\"attempt_ended\"} 1\n"}) {
         EXPECT_NE(text.find(line), std::string::npos) << line << text;
     }
     EXPECT_EQ(ask(metrics_address, "/other").response.result_int(), 404U);
