--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -4,6 +4,7 @@
 #include "support/free_port.h"
 #include "support/scripted_server.h"
 
+#include <boost/asio/read.hpp>
 #include <gtest/gtest.h>
 
 namespace cove {
@@ -153,6 +154,31 @@
     EXPECT_FALSE(called);
 }
 
+TEST(exchange, withdraws_a_cancelled_request_that_the_peer_has_not_read)
+{
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::acceptor listener(loop);
+    listener.open(boost::asio::ip::tcp::v4());
+    listener.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    listener.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    listener.listen();
+    auto const connection =
+        std::make_shared<exchange_connection>(loop, listener.local_endpoint(), exchange_limits{});
+    http_request request = get("/a");
+    request.body().assign(900'000, 'x');
+    request.prepare_payload();
+    connection->exchange(std::move(request), match_attempt, [](exchange_result const&) {});
+    loop.run_for(milliseconds{300});
+    connection->close();
+    loop.restart();
+    loop.run_for(milliseconds{300});
+    auto peer = listener.accept();
+    boost::system::error_code error;
+    std::string body(1'000'000, ' ');
+    boost::asio::read(peer, boost::asio::buffer(body), error);
+    EXPECT_EQ(error, boost::asio::error::connection_reset);
+}
+
 TEST(forwarding, removes_hop_by_hop_fields)
 {
     http_request request = get("/a");
@@ -296,6 +322,19 @@
     server.respond(calls[0], http_response(http::status::ok, 11)); // must be ignored
 }
 
+TEST_F(server_case, reports_the_disconnect_of_a_client_that_has_begun_another_request)
+{
+    send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(run_until(loop, [&] { return !calls.empty(); }));
+    send("GET /b HT");
+    run_until(
+        loop, [] { return false; }, milliseconds{50});
+    EXPECT_EQ(disconnects, 0);
+    client.close();
+    EXPECT_TRUE(run_until(
+        loop, [&] { return disconnects == 1; }, milliseconds{500}));
+}
+
 TEST_F(server_case, closes_connections_after_the_response_on_shutdown)
 {
     send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -144,6 +144,7 @@
         ready_address = settings->readiness_address;
         directory_address = settings->directory_address;
         metrics_address = settings->metrics_address;
+        relay_address = loopback(settings->relay_port);
         host = std::make_unique<entry_host>(
             loop, timers, *settings, test_wire_format(), [settings] { return *settings; },
             [this](store_hooks hooks) {
@@ -188,6 +189,7 @@
     std::string ready_address;
     std::string directory_address;
     std::string metrics_address;
+    std::string relay_address;
     std::unique_ptr<entry_host> host;
 };
 
