Send a request only while its client is there

Callers: after they had given up a host that had not read their requests, targets got these requests. Cause: a request was handed on before the end of its connection, which had arrived with it, was looked at, and an idle connection to a target carried it at once. Nothing looked at the client when a request was sent again, relayed, or waited for its connection to the target, and a request that must not run twice was kept although no byte of it was written. Change: the server looks at the socket when a request is read, and an exchange asks right before it writes; a request that is not wanted any more is withdrawn and its connection kept. The reducer learns whether bytes of an attempt were sent; without any, every request is dropped. Weighed: a turn of the loop in which closes go first, which leaves a window and costs every request a turn; the look is one system call.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -603,6 +603,8 @@
     gauge("cut_off_from_targets", forwarder_.cut_off() ? 1 : 0);
     out += "# TYPE cove_relayed_requests counter\ncove_relayed_requests " +
            std::to_string(forwarder_.relayed_requests()) + "\n";
+    out += "# TYPE cove_departed_requests counter\ncove_departed_requests " +
+           std::to_string(forwarder_.departed_requests()) + "\n";
     gauge("suspected_requests", forwarder_.suspected_requests());
     out += "# TYPE cove_blocked_requests counter\ncove_blocked_requests " +
            std::to_string(forwarder_.blocked_requests()) + "\n";
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -144,11 +144,19 @@
 
 void request_forwarder::feed(traffic_event const& event)
 {
+    perform(event);
+    drop_departed();
+}
+
+void request_forwarder::perform(traffic_event const& event)
+{
+    performing_ = true;
     monitor_.measure(kind_of(event), [&] {
         for (traffic_effect const& effect : traffic_.reduce(event, read_clocks().mono)) {
             std::visit([this](auto const& what) { execute(what); }, effect);
         }
     });
+    performing_ = false;
 }
 
 void request_forwarder::on_request(call_id call, http_request request)
@@ -218,7 +226,27 @@
 
 void request_forwarder::on_disconnected(request_id id)
 {
-    feed(client_disconnected{id});
+    auto const found = open_.find(id);
+    bool const unsent =
+        found != open_.end() && found->second.connection && !found->second.connection->sending();
+    drop(id, unsent);
+    drop_departed();
+}
+
+/** Ends the requests whose clients were found to have left, once the current effects are done. */
+void request_forwarder::drop_departed()
+{
+    while (!performing_ && !departed_.empty()) {
+        request_id const id = departed_.back();
+        departed_.pop_back();
+        ++departed_requests_;
+        drop(id, true);
+    }
+}
+
+void request_forwarder::drop(request_id id, bool unsent)
+{
+    perform(client_disconnected{id, unsent});
     auto const found = open_.find(id);
     if (found != open_.end() && !found->second.connection) {
         record_outcome(found->second, "client_left");
@@ -226,6 +254,15 @@
     }
 }
 
+/** @return a test whether the client of request @p id is still there. */
+exchange_connection::condition request_forwarder::client_connected(request_id id) const
+{
+    return [this, id] {
+        auto const found = open_.find(id);
+        return found != open_.end() && found->second.server->client_connected(found->second.call);
+    };
+}
+
 void request_forwarder::execute(send_attempt const& effect)
 {
     auto const found = open_.find(effect.id);
@@ -244,7 +281,8 @@
         limit_connect_time(open.connection);
     }
     bool const carried_others = open.connection->idle_since != mono_time{};
-    open.connection->exchange(
+    auto const connection = open.connection; // the request may be withdrawn at once
+    connection->exchange(
         std::move(message),
         [this, attempt_id = open.attempt_id, carried_others](http_response const& response) {
             // A faulty target may repeat a refusal of an earlier request.
@@ -254,7 +292,8 @@
         },
         [this, effect, fresh](exchange_result result) {
             on_exchange_end(effect.id, effect, fresh, std::move(result));
-        });
+        },
+        client_connected(effect.id));
 }
 
 /** Gives up connecting, so that the request goes elsewhere while there is time. */
@@ -285,14 +324,16 @@
     if (!open.connection->connected()) {
         limit_connect_time(open.connection);
     }
-    open.connection->exchange(
+    auto const connection = open.connection; // the request may be withdrawn at once
+    connection->exchange(
         std::move(message),
         [this, attempt_id = open.attempt_id](http_response const& response) {
             return match(attempt_id, response);
         },
         [this, effect](exchange_result result) {
             on_relay_end(effect.id, effect, std::move(result));
-        });
+        },
+        client_connected(effect.id));
 }
 
 void request_forwarder::on_relay_end(request_id id, relay_request const& relay,
@@ -305,6 +346,12 @@
     open_request& open = found->second;
     auto const connection = std::move(open.connection);
     open.connection.reset();
+    if (result.outcome == exchange_outcome::withdrawn) {
+        relay_pool_.release(target_id(relay.address), connection);
+        departed_.push_back(id);
+        drop_departed();
+        return;
+    }
     relay_ended event{id, relay_end::broken};
     if (result.outcome == exchange_outcome::connect_failed) {
         event.end = relay_end::not_sent;
@@ -422,6 +469,12 @@
     open_request& open = found->second;
     auto const connection = std::move(open.connection);
     open.connection.reset();
+    if (result.outcome == exchange_outcome::withdrawn) {
+        pool_.release(attempt.target, connection);
+        departed_.push_back(id);
+        drop_departed();
+        return;
+    }
     attempt_ended event{
         id,           attempt.target, classify(result),
         std::nullopt, std::nullopt,   fresh ? connection->connect_time() : microseconds{0}};
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -85,6 +85,7 @@
     [[nodiscard]] bool cut_off() const { return traffic_.cut_off(); }
     [[nodiscard]] bool needs_relays() const;
     [[nodiscard]] std::uint64_t relayed_requests() const { return relayed_requests_; }
+    [[nodiscard]] std::uint64_t departed_requests() const { return departed_requests_; }
     [[nodiscard]] std::uint64_t blocked_requests() const { return blocked_requests_; }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] std::size_t queued_requests() const { return traffic_.queued_requests(); }
@@ -108,6 +109,8 @@
     };
 
     void feed(traffic_event const& event);
+    void perform(traffic_event const& event);
+    void drop_departed();
     void execute(send_attempt const& effect);
     void execute(cancel_attempt const& effect);
     void execute(deliver_answer const& effect);
@@ -119,6 +122,8 @@
     void execute(links_changed const& effect);
     void accept(request_id id, open_request open, bool relayed);
     void on_disconnected(request_id id);
+    void drop(request_id id, bool unsent);
+    [[nodiscard]] exchange_connection::condition client_connected(request_id id) const;
     void limit_connect_time(target_connection_pool::connection const& connection);
     void on_relay_end(request_id id, relay_request const& relay, exchange_result result);
     void on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
@@ -142,14 +147,17 @@
     weighted_round_robin round_robin_;
     std::unique_ptr<route_table> routes_;
     std::unordered_map<request_id, open_request> open_;
+    std::vector<request_id> departed_; ///< found without client when they were to be sent
+    bool performing_ = false;
     latency_metrics metrics_;
     http_server* clients_ = nullptr;
     http_server* peers_ = nullptr;
     loop_timers::subscription tick_ = 0;
     std::function<void(std::vector<crash_record> const&)> report_crashes_;
     std::function<void(bool)> links_changed_;
-    std::uint64_t blocked_requests_ = 0; ///< answered as blocked so far
-    std::uint64_t relayed_requests_ = 0; ///< sent to other hosts so far
+    std::uint64_t blocked_requests_ = 0;  ///< answered as blocked so far
+    std::uint64_t relayed_requests_ = 0;  ///< sent to other hosts so far
+    std::uint64_t departed_requests_ = 0; ///< not sent, as their clients had left
 };
 
 } // namespace cove
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -55,11 +55,13 @@
 {
 }
 
-void exchange_connection::exchange(http_request request, response_matcher match, handler done)
+void exchange_connection::exchange(http_request request, response_matcher match, handler done,
+                                   condition wanted)
 {
     request_ = std::move(request);
     match_ = std::move(match);
     done_ = std::move(done);
+    wanted_ = std::move(wanted);
     sent_ = false;
     reusable_ = false;
     received_ = 0;
@@ -110,6 +112,12 @@
 
 void exchange_connection::send()
 {
+    if (wanted_ && !wanted_()) {
+        reusable_ = true;
+        finish({exchange_outcome::withdrawn, {}, "the request is not wanted any more"});
+        return;
+    }
+    sending_ = true;
     http::async_write(socket_, request_,
                       [self = shared_from_this()](error_code error, std::size_t) {
                           // The read reports a failed write; an early response may still arrive.
@@ -201,9 +209,12 @@
     auto const done = std::move(done_);
     done_ = nullptr;
     match_ = nullptr;
-    if (result.outcome != exchange_outcome::answered) {
+    wanted_ = nullptr;
+    if (result.outcome != exchange_outcome::answered &&
+        result.outcome != exchange_outcome::withdrawn) {
         close();
     }
+    sending_ = false;
     if (done) {
         done(std::move(result));
     }
@@ -214,6 +225,8 @@
     closed_ = true;
     done_ = nullptr;
     match_ = nullptr;
+    wanted_ = nullptr;
+    sending_ = false;
     error_code ignored; // a socket that the peer has reset may fail to close
     socket_.close(ignored);
 }
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -20,6 +20,7 @@
     answered,       ///< a complete response was received
     connect_failed, ///< no connection was established, so no byte of the request was sent
     broken,         ///< the connection ended or the response was invalid; the request may have run
+    withdrawn,      ///< the request was not wanted any more when it could be sent; no byte was sent
 };
 
 /** Result of one request on a connection. */
@@ -62,6 +63,7 @@
     using handler = std::function<void(exchange_result)>;
     using connect_handler = std::function<void(boost::system::error_code)>;
     using response_matcher = std::function<response_match(http_response const&)>;
+    using condition = std::function<bool()>;
 
     exchange_connection(boost::asio::io_context& loop, http_endpoint peer, exchange_limits limits);
 
@@ -70,8 +72,11 @@
      * @param match tells whether a response belongs to this request; others are discarded and the
      * next response is awaited. If empty, every response does.
      * @param done called once, unless close() is called first.
+     * @param wanted asked right before the request is written; if it returns false, the outcome is
+     * withdrawn and the connection stays fit for use. If empty, the request is wanted.
      */
-    void exchange(http_request request, response_matcher match, handler done);
+    void exchange(http_request request, response_matcher match, handler done,
+                  condition wanted = nullptr);
 
     /** Establishes the connection without a request. @param done as in exchange(). */
     void connect(connect_handler done);
@@ -85,6 +90,9 @@
     /** @return whether another request may be sent; checks the socket for a close by the peer. */
     [[nodiscard]] bool usable();
 
+    /** @return whether bytes of the request in progress may have been sent. */
+    [[nodiscard]] bool sending() const { return sending_; }
+
     /** @return whether the connection was established at any time. */
     [[nodiscard]] bool connected() const { return connected_; }
 
@@ -118,6 +126,8 @@
     http_request request_;
     response_matcher match_;
     handler done_;
+    condition wanted_;
+    bool sending_ = false; ///< a request is in progress and was at least begun to be written
     bool connected_ = false;
     bool sent_ = false;     ///< the request was written completely
     bool reusable_ = false; ///< the last response leaves the connection fit for another request
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -91,6 +91,12 @@
     return found == calls_.end() ? std::string() : found->second->client_ip();
 }
 
+bool http_server::client_connected(call_id call) const
+{
+    auto const found = calls_.find(call);
+    return found != calls_.end() && !found->second->client_left();
+}
+
 void http_server::stop_accepting()
 {
     error_code ignored; // nothing is accepted even if the close fails
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -72,6 +72,9 @@
     /** @return the IP of the client that made @p call; empty if it has disconnected. */
     [[nodiscard]] std::string client_ip(call_id call) const;
 
+    /** @return whether the client that made @p call is still connected, by its socket. */
+    [[nodiscard]] bool client_connected(call_id call) const;
+
 private:
     friend class server_connection;
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace cove {
@@ -158,6 +159,10 @@
 
 void server_connection::dispatch_request()
 {
+    if (client_left()) {
+        close();
+        return;
+    }
     enter_phase(phase::call, no_timeout);
     if (server_.hooks_.unread) {
         if (auto const unread = time_since_receive(socket_.native_handle())) {
@@ -179,16 +184,20 @@
         if (self->closed_ || self->phase_ != phase::call) {
             return;
         }
-        char byte = 0;
-        auto const got =
-            ::recv(self->socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-        if (error || got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+        if (error || self->client_left()) {
             self->close();
+            return;
         }
         // Bytes of the next request are read after the response to this one.
     });
 }
 
+bool server_connection::client_left()
+{
+    pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void server_connection::respond(http_response response)
 {
     call_.reset();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -23,6 +23,9 @@
     /** Sends the response to the call in progress. */
     void respond(http_response response);
 
+    /** @return whether the client has closed the connection or its sending side, read or not. */
+    [[nodiscard]] bool client_left();
+
     /** Closes the connection if the timeout of its phase has passed. */
     void close_if_timed_out(mono_time now);
 
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -248,7 +248,7 @@
         return;
     }
     pending_request& request = found->second;
-    if ((request.target || request.relaying) && !request.route->idempotent) {
+    if ((request.target || request.relaying) && !request.route->idempotent && !event.unsent) {
         request.client_disconnected = true; // it cannot be retried, so cancelling it has no use
         return;
     }
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -81,6 +81,7 @@
 /** The client disconnected and no longer waits for the answer. */
 struct client_disconnected {
     request_id id;
+    bool unsent = false; ///< no byte of the attempt in progress, if any, has been sent
 };
 
 /** The complete, current list of targets. */
