Notice that a client left although it had begun another request

Callers: work went on for a client that had written the first bytes of another request before it left. Cause: the watch for the end of a connection looked once, found bytes and looked no more. Change: a connection with such bytes is checked for its end with its timeouts, every 250 ms, inside the half second; others cost nothing more.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -12,7 +12,8 @@
 
 /// A shorter queue drops connection requests in a burst; their retransmission takes seconds.
 constexpr int listen_backlog = 1024;
-constexpr milliseconds timeout_check_interval{250}; ///< precision of client timeouts
+/// Precision of client timeouts, and of the notice that a client left after more than its request.
+constexpr milliseconds end_check_interval{250};
 /// Wait after a failure to accept, for example because no file descriptor is free.
 constexpr milliseconds accept_retry_delay{50};
 
@@ -25,7 +26,7 @@
 
 http_server::~http_server()
 {
-    timers_.cancel(timeout_check_);
+    timers_.cancel(end_check_);
 }
 
 result<void> http_server::start(std::string const& listen_address)
@@ -52,7 +53,7 @@
     if (error) {
         return fail("http.listen", listen_address, error.message());
     }
-    timeout_check_ = timers_.every(timeout_check_interval, [this] { close_timed_out(); });
+    end_check_ = timers_.every(end_check_interval, [this] { close_ended(); });
     accept();
     return {};
 }
@@ -103,12 +104,12 @@
     acceptor_.close(ignored);
 }
 
-void http_server::close_timed_out()
+void http_server::close_ended()
 {
     mono_time const now = read_clocks().mono;
     auto const all = connections_; // a copy, because closing removes entries
     for (auto const& [key, connection] : all) {
-        connection->close_if_timed_out(now);
+        connection->close_if_ended(now);
     }
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -79,7 +79,7 @@
     friend class server_connection;
 
     void accept();
-    void close_timed_out();
+    void close_ended();
 
     boost::asio::io_context& loop_;
     loop_timers& timers_;
@@ -89,7 +89,7 @@
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
     std::unordered_map<call_id, server_connection*> calls_;
     std::uint64_t next_call_ = 1;
-    loop_timers::subscription timeout_check_ = 0;
+    loop_timers::subscription end_check_ = 0;
     bool closing_ = false;
 };
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -172,6 +172,7 @@
     http_request request = parser_->release();
     keep_alive_ = request.keep_alive();
     is_head_ = request.method() == http::verb::head;
+    read_ahead_ = false;
     call_ = call_id(server_.next_call_++);
     server_.calls_[*call_] = this;
     watch_for_disconnect();
@@ -188,7 +189,9 @@
             self->close();
             return;
         }
-        // Bytes of the next request are read after the response to this one.
+        // Bytes of the next request are read after the response to this one. Until then they keep
+        // the socket readable, so close_if_ended() looks for the end of the connection.
+        self->read_ahead_ = true;
     });
 }
 
@@ -264,9 +267,9 @@
     discard(discard);
 }
 
-void server_connection::close_if_timed_out(mono_time now)
+void server_connection::close_if_ended(mono_time now)
 {
-    if (now >= deadline_) {
+    if (now >= deadline_ || (phase_ == phase::call && read_ahead_ && client_left())) {
         close();
     }
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -26,8 +26,8 @@
     /** @return whether the client has closed the connection or its sending side, read or not. */
     [[nodiscard]] bool client_left();
 
-    /** Closes the connection if the timeout of its phase has passed. */
-    void close_if_timed_out(mono_time now);
+    /** Closes the connection if its client has left or the timeout of its phase has passed. */
+    void close_if_ended(mono_time now);
 
     /** Closes the connection if it waits for the first byte of a request. */
     void close_if_idle();
@@ -57,9 +57,10 @@
     http_response response_;
     std::optional<call_id> call_;
     phase phase_ = phase::idle;
-    mono_time deadline_{};   ///< end of the current phase
-    bool keep_alive_ = true; ///< the client allows reuse of the connection
-    bool is_head_ = false;   ///< the request is a HEAD, so the response has no body
+    mono_time deadline_{};    ///< end of the current phase
+    bool keep_alive_ = true;  ///< the client allows reuse of the connection
+    bool read_ahead_ = false; ///< bytes have arrived during the call, which hide its end
+    bool is_head_ = false;    ///< the request is a HEAD, so the response has no body
     bool closed_ = false;
 };
 
