Reset a connection to a target when its request is cancelled

Callers: none saw it; targets got whole requests more than half a second after the clients had left. Cause: closing a connection withdraws nothing: what the kernel still holds goes out after it, late over a slow link or to a target that reads late. Change: a connection with a request in progress is reset, whether it was cancelled or its answer was broken; what its kernel holds is dropped. An idle one is closed as before. What the target's kernel has already received stays readable there.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -226,8 +226,11 @@
     done_ = nullptr;
     match_ = nullptr;
     wanted_ = nullptr;
-    sending_ = false;
     error_code ignored; // a socket that the peer has reset may fail to close
+    if (sending_) {
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    sending_ = false;
     socket_.close(ignored);
 }
 
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -84,7 +84,8 @@
     /** Ends a request that still waits for the connection; its outcome is connect_failed. */
     void give_up_connecting();
 
-    /** Closes the connection and aborts the request in progress. */
+    /** Closes the connection; resets it if a request is in progress, so that its rest is not sent.
+     */
     void close();
 
     /** @return whether another request may be sent; checks the socket for a close by the peer. */
