Bound the turns of a host with a long queue

Callers: a host with many waiting requests read new ones late; the users' record has 2.4 s. Cause: each ended attempt and each tick compared the whole queue with all targets of the zone, and sorted it by look-ups in a map, so the cost of a turn was the product of both. Expired requests were sent to targets that had become free. Change: expired requests are refused first. At most 32 requests are compared with the targets in a turn: those whose target has a free slot, then those that were compared longest ago, in the queue's order. A queue of up to 32 is placed as a whole each time, as before.

--- a/src/bench/traffic_bench.cpp
+++ b/src/bench/traffic_bench.cpp
@@ -20,28 +20,41 @@
 /** A host whose targets are all busy while further requests wait. */
 class busy_host {
 public:
-    busy_host(int targets, int waiting)
-        : reducer_({node_id("h0"), zone_id("z"), {{zone_id("z"), region_id("r")}}, {}, 1, {}})
+    /**
+     * @param targets in the zone of the host. @param waiting requests.
+     * @param remote targets in another zone, which are not busy.
+     * @param quota of the host there.
+     */
+    busy_host(int targets, int waiting, int remote, int quota)
+        : reducer_({node_id("h0"),
+                    zone_id("z"),
+                    {{zone_id("z"), region_id("r")}, {zone_id("y"), region_id("s")}},
+                    {},
+                    1,
+                    {}})
     {
         route_.name = route_id("route");
         route_.timeout = seconds{100};
-        route_.objective = seconds{1};
+        route_.objective = milliseconds{200};
         route_.max_attempts = 2;
         route_.sticky = true;
         services_listed services;
         services.services[service_] = {service_, "/health", 100, milliseconds{3000}, 4};
         reducer_.reduce(services, now_);
         targets_listed list;
-        for (int i = 0; i < targets; ++i) {
+        for (int i = 0; i < targets + remote; ++i) {
             target_entry entry;
             entry.id = target_id("target-" + std::to_string(i));
             entry.service = service_;
             entry.address = "10.0.0.1:80";
-            entry.zone = zone_id("z");
+            entry.zone = zone_id(i < targets ? "z" : "y");
             entry.slots = slots;
             list.entries.push_back(entry);
         }
         reducer_.reduce(list, now_);
+        peers_reported peers;
+        peers.remote_quotas = {{zone_id("y"), service_, quota}};
+        reducer_.reduce(peers, now_);
         for (int i = 0; i < targets * slots + waiting; ++i) {
             arrive(i >= targets * slots);
         }
@@ -121,9 +134,15 @@
 
 int main()
 {
-    for (auto const& [targets, waiting] :
-         {std::pair{112, 0}, {112, 64}, {112, 162}, {112, 648}, {224, 224}, {1215, 162}}) {
-        busy_host host(targets, waiting);
+    for (auto const& [targets, waiting, remote, quota] : {std::tuple{112, 0, 0, 0},
+                                                          {112, 64, 0, 0},
+                                                          {112, 162, 0, 0},
+                                                          {112, 648, 0, 0},
+                                                          {224, 224, 0, 0},
+                                                          {1215, 162, 0, 0},
+                                                          {112, 16, 1100, 1},
+                                                          {112, 162, 1100, 1}}) {
+        busy_host host(targets, waiting, remote, quota);
         double const ended = average_us([&] {
             auto const spent = time_of([&] { host.end_attempt(); });
             host.arrive();
@@ -137,6 +156,7 @@
         double const ticked = average_us([&] { return time_of([&] { host.run_tick(); }); });
         std::cout << nlohmann::json{{"targets", targets},
                                     {"waiting", waiting},
+                                    {"remote", remote},
                                     {"attempt_ended_us", ended},
                                     {"request_arrived_us", arrived},
                                     {"timer_tick_us", ticked}}
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -68,7 +68,8 @@
     }
     auto const added = requests_.emplace(event.id, std::move(request)).first;
     queues_[event.service].push_back(event.id);
-    placement_round round = begin_round(event.service, &added->second);
+    placement_round round = begin_round(event.service);
+    count_waiting(round, event.service, &added->second);
     place(added->second, round);
 }
 
@@ -476,6 +477,7 @@
     target_id const previous = *request.target;
     request.tried.insert(previous);
     placement_round round = begin_round(request.service);
+    count_waiting(round, request.service);
     for (placement_option const& option : local_options(request, round)) {
         bool const is_previous = option.candidate->target->entry().id == previous;
         if (is_previous ||
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -51,6 +51,7 @@
     std::set<std::string> relays;     ///< addresses of the hosts that were asked to carry it
     std::set<target_id> tried;
     target_state const* queued_for = nullptr; ///< target for whose slots it waits
+    mono_time placed{};                       ///< when it was last compared with the targets
     // State of the attempt in progress:
     std::optional<target_id> target;
     mono_time sent;
@@ -73,6 +74,7 @@
 struct placement_round {
     std::vector<placement_candidate> local;
     std::vector<std::size_t> local_index; ///< of each candidate in service_targets::local
+    std::unordered_map<target_state const*, std::size_t> position; ///< in `local`
     std::vector<placement_candidate> remote;
     bool remote_collected = false;
     double slot_time_weight = 0;
@@ -162,8 +164,11 @@
                              std::vector<placement_option>& options) const;
     bool retry(pending_request& request);
     void dispatch_queue(service_id const& service);
-    placement_round begin_round(service_id const& service,
-                                pending_request const* new_request = nullptr);
+    void refuse_expired(service_id const& service);
+    void sort_queue(std::vector<request_id>& queue) const;
+    placement_round begin_round(service_id const& service);
+    void count_waiting(placement_round& round, service_id const& service,
+                       pending_request const* before = nullptr) const;
     void collect_remote_candidates(placement_round& round, service_id const& service);
     void place(pending_request& request, placement_round& round);
     std::vector<placement_option> local_options(pending_request& request, placement_round& round);
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -12,25 +12,73 @@
 namespace {
 
 constexpr double ms_per_second = 1000;
+/// Queued requests that are compared with the targets in one turn of the loop.
+constexpr std::size_t max_placed_per_turn = 32;
+/// Interval at which a queue that is not longer is placed as a whole.
+constexpr milliseconds placement_interval{20};
 
 } // namespace
 
+/**
+ * Places the queued requests of a service, first those that come first. The work is bounded
+ * whatever the length of the queue: requests whose target has a free slot are placed, the others in
+ * turn.
+ */
 void traffic::dispatch_queue(service_id const& service)
 {
+    refuse_expired(service);
     auto& queue = queues_[service];
     if (queue.empty()) {
         return;
     }
-    std::sort(queue.begin(), queue.end(), [this](request_id a, request_id b) {
-        return comes_before(requests_.at(a), requests_.at(b));
-    });
-    for (request_id const& id : queue) {
-        requests_.at(id).queued_for = nullptr;
-    }
+    sort_queue(queue);
     placement_round round = begin_round(service);
+    // A short queue is placed as a whole each time.
+    auto const rounds = static_cast<int>(queue.size() / max_placed_per_turn);
+    microseconds const pause = placement_interval * rounds;
+    std::size_t placed = 0;
     for (request_id const& id : std::vector(queue)) {
-        place(requests_.at(id), round);
+        pending_request& request = requests_.at(id);
+        auto const position = round.position.find(request.queued_for);
+        placement_candidate* const awaited =
+            position == round.position.end() ? nullptr : &round.local[position->second];
+        bool const due = awaited == nullptr || !awaited->full() || now_ >= request.placed + pause;
+        if (due && placed < max_placed_per_turn) {
+            ++placed;
+            request.queued_for = nullptr;
+            place(request, round);
+        }
+        else if (awaited != nullptr) {
+            awaited->queued += 1;
+        }
+    }
+}
+
+/** Refuses the queued requests of a service whose time is over. */
+void traffic::refuse_expired(service_id const& service)
+{
+    std::vector<request_id> expired;
+    for (request_id const& id : queues_[service]) {
+        if (now_ >= requests_.at(id).expires) {
+            expired.push_back(id);
+        }
+    }
+    for (request_id const& id : expired) {
+        refuse(id, refusal::no_room, milliseconds{0});
+    }
+}
+
+void traffic::sort_queue(std::vector<request_id>& queue) const
+{
+    std::vector<pending_request const*> order;
+    order.reserve(queue.size());
+    for (request_id const& id : queue) {
+        order.push_back(&requests_.at(id));
     }
+    std::sort(order.begin(), order.end(),
+              [this](auto const* a, auto const* b) { return comes_before(*a, *b); });
+    std::transform(order.begin(), order.end(), queue.begin(),
+                   [](auto const* request) { return request->id; });
 }
 
 bool traffic::zone_allowed(route_config const& route, zone_id const& zone) const
@@ -110,12 +158,8 @@
     return std::min(slots, *target.limit() * mean_seconds);
 }
 
-/**
- * Takes a snapshot of the local targets for all requests that are placed in this round.
- * @param new_request set if only this request is placed: queued requests that precede it then count
- * as waiting for their targets.
- */
-placement_round traffic::begin_round(service_id const& service, pending_request const* new_request)
+/** Takes a snapshot of the local targets for all requests that are placed in this round. */
+placement_round traffic::begin_round(service_id const& service)
 {
     placement_round round;
     double slots = 0;
@@ -125,27 +169,33 @@
         if (!local[i]->accepts(now_) || evacuated_zones_.contains(settings_.zone)) {
             continue;
         }
+        round.position.emplace(local[i], round.local.size());
         round.local.push_back(make_candidate(*local[i], now_));
         round.local_index.push_back(i);
         slots += round.local.back().slots;
         busy += round.local.back().load;
     }
-    auto const& queue = queues_[service];
-    std::unordered_map<target_state const*, int> queued;
-    for (request_id const& id : queue) {
-        pending_request const& other = requests_.at(id);
-        if (other.queued_for != nullptr &&
-            (new_request == nullptr || comes_before(other, *new_request))) {
-            ++queued[other.queued_for];
-        }
+    round.slot_time_weight =
+        slots > 0 ? (busy + static_cast<double>(queues_[service].size())) / slots : 0;
+    return round;
+}
+
+/** Counts the queued requests, or those that come @p before another one, at their targets. */
+void traffic::count_waiting(placement_round& round, service_id const& service,
+                            pending_request const* before) const
+{
+    auto const queue = queues_.find(service);
+    if (queue == queues_.end()) {
+        return;
     }
-    for (placement_candidate& candidate : round.local) {
-        if (auto const found = queued.find(candidate.target); found != queued.end()) {
-            candidate.queued += found->second;
+    for (request_id const& id : queue->second) {
+        pending_request const& other = requests_.at(id);
+        auto const position = round.position.find(other.queued_for);
+        if (position != round.position.end() &&
+            (before == nullptr || comes_before(other, *before))) {
+            round.local[position->second].queued += 1;
         }
     }
-    round.slot_time_weight = slots > 0 ? (busy + static_cast<double>(queue.size())) / slots : 0;
-    return round;
 }
 
 /** Adds the targets of other zones in which this host has quota left. */
@@ -179,6 +229,7 @@
                                             std::vector<std::size_t> const& ranks)
 {
     ++ranked_requests_;
+    request.placed = now_;
     auto const hits =
         preferred_hit_rates_
             .try_emplace(request.service, mean_sample_weight, initial_preferred_hit_rate)
