Answer requests of a planned stop instead of cutting them

Callers: in a planned stop of one host, requests that came late in the grace time were passed on and cut without an answer at its end, among them such as must not run twice. Cause: a stopping host gave requests their own time, however little was left of its own; a body could come in until the end; the process ended with what was open. Change: the reducer learns by when all answers are due, 0.9 of the grace. A request is passed on only if its own limit ends before, or if twice the time that few requests of its route exceed fits; the target gets what is left as its limit. Others are answered with 503, not run, at once. At the end what runs is answered with 502 and what is not in with 503. Handing requests to a host that stays was weighed: the answer has to come back through this process, so it gains nothing over 503. Short requests are served as late as before.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -35,6 +35,9 @@
 /// Fraction of the grace time after which a leaving host stops accepting connections; the look-up
 /// answers that clients have cached have expired by then.
 constexpr double stop_accept_fraction = 0.4;
+/// Fraction of the grace time after which all requests have been answered, whatever their targets
+/// do.
+constexpr double last_answer_fraction = 0.9;
 /// Fraction of the grace time after which the process exits even if requests are still open.
 constexpr double exit_fraction = 0.97;
 constexpr milliseconds exit_check_interval{20};
@@ -387,8 +390,8 @@
 
 /**
  * Planned stop: peers remove this host from look-up answers at once, each client connection closes
- * after its next response, and the process exits when no connection is left, at the latest shortly
- * before the grace time ends.
+ * after its next response, requests get the time that is left, and the process exits when no
+ * connection is left, at the latest shortly before the grace time ends.
  */
 void entry_host::start_leaving()
 {
@@ -403,6 +406,12 @@
     send(view_.announce_leaving(state(), now));
     timers_.once(now + fraction_of(settings_.grace, stop_accept_fraction),
                  [this] { finish_leaving(); });
+    mono_time const answers_due = now + fraction_of(settings_.grace, last_answer_fraction);
+    forwarder_.announce_stop(answers_due);
+    timers_.once(answers_due, [this] {
+        clients_.refuse_unfinished();
+        relays_.refuse_unfinished();
+    });
     mono_time const exit_at = now + fraction_of(settings_.grace, exit_fraction);
     timers_.once(exit_at, [this] { loop_.stop(); });
 }
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -85,10 +85,11 @@
 char const* kind_of(traffic_event const& event)
 {
     constexpr std::array<char const*, std::variant_size_v<traffic_event>> kinds{
-        "request_arrived",  "attempt_ended",           "client_disconnected", "targets_listed",
-        "targets_changed",  "evacuations_listed",      "services_listed",     "peers_reported",
-        "crashes_reported", "crash_retention_changed", "relay_ended",         "probe_ended",
-        "timer_tick"};
+        "request_arrived",         "attempt_ended",   "client_disconnected",
+        "targets_listed",          "targets_changed", "evacuations_listed",
+        "services_listed",         "peers_reported",  "crashes_reported",
+        "crash_retention_changed", "relay_ended",     "probe_ended",
+        "stop_announced",          "timer_tick"};
     return kinds.at(event.index());
 }
 
@@ -629,6 +630,11 @@
     feed(peers);
 }
 
+void request_forwarder::announce_stop(mono_time answers_due)
+{
+    feed(stop_announced{answers_due});
+}
+
 void request_forwarder::set_crash_retention(milliseconds retention)
 {
     feed(crash_retention_changed{retention});
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -73,6 +73,8 @@
     void change_targets(targets_changed const& changes);
     void set_evacuations(std::set<zone_id> const& zones);
     void set_peers(peers_reported const& peers);
+    /** This host stops; all requests are answered by @p answers_due or a few ticks later. */
+    void announce_stop(mono_time answers_due);
     void set_crash_retention(milliseconds retention);
     void merge_crashes(std::vector<crash_record> const& records);
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -113,6 +113,14 @@
     }
 }
 
+void http_server::refuse_unfinished()
+{
+    auto const all = connections_;
+    for (auto const& [key, connection] : all) {
+        connection->refuse_unfinished();
+    }
+}
+
 void http_server::close_idle()
 {
     auto const all = connections_;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -66,6 +66,9 @@
     /** Closes all connections that wait for the first byte of a request. */
     void close_idle();
 
+    /** Answers 503 to the clients whose requests have arrived in part. */
+    void refuse_unfinished();
+
     /** @return the number of open connections. */
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -92,7 +92,7 @@
     enter_phase(phase::header, server_.limits_.header_timeout);
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code error, std::size_t) {
-                                if (!self->closed_) {
+                                if (!self->closed_ && !self->refused_) {
                                     self->on_header(error);
                                 }
                             });
@@ -124,7 +124,7 @@
     if (expects_continue(parser_->get()) && !parser_->is_done()) {
         boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
                                  [self = shared_from_this()](error_code, std::size_t) {
-                                     if (!self->closed_) {
+                                     if (!self->closed_ && !self->refused_) {
                                          self->read_body();
                                      }
                                  });
@@ -142,7 +142,7 @@
     enter_phase(phase::body, server_.limits_.body_timeout);
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](error_code error, std::size_t) {
-                         if (self->closed_) {
+                         if (self->closed_ || self->refused_) {
                              return;
                          }
                          if (error == http::error::body_limit) {
@@ -274,6 +274,17 @@
     }
 }
 
+void server_connection::refuse_unfinished()
+{
+    if (phase_ != phase::header && phase_ != phase::body) {
+        return;
+    }
+    refused_ = true; // the pending read ends with an error, which is no failure of the connection
+    error_code ignored;
+    socket_.cancel(ignored);
+    reject(http::status::service_unavailable);
+}
+
 void server_connection::close_if_idle()
 {
     if (phase_ == phase::idle) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -29,6 +29,9 @@
     /** Closes the connection if its client has left or the timeout of its phase has passed. */
     void close_if_ended(mono_time now);
 
+    /** Answers 503 if a request has arrived in part; its rest is discarded. */
+    void refuse_unfinished();
+
     /** Closes the connection if it waits for the first byte of a request. */
     void close_if_idle();
 
@@ -61,6 +64,7 @@
     bool keep_alive_ = true;  ///< the client allows reuse of the connection
     bool read_ahead_ = false; ///< bytes have arrived during the call, which hide its end
     bool is_head_ = false;    ///< the request is a HEAD, so the response has no body
+    bool refused_ = false;    ///< a request was answered before all of it had arrived
     bool closed_ = false;
 };
 
--- a/src/traffic/service_time.cpp
+++ b/src/traffic/service_time.cpp
@@ -1,10 +1,13 @@
 #include "traffic/service_time.h"
 
+#include <algorithm>
+
 namespace cove {
 
 namespace {
 
 constexpr double sample_weight = 0.05;     ///< averages over about the last 40 requests
+constexpr double slow_decay = 0.99;        ///< for each request; halves over about 70 of them
 constexpr double initial_warm_share = 0.5; ///< initial warm time, as a share of the objective
 
 } // namespace
@@ -15,6 +18,11 @@
 {
 }
 
+void route_time::note(double elapsed_ms)
+{
+    slow_ = std::max(elapsed_ms, slow_decay * slow_.value_or(0));
+}
+
 double route_time::expected(double share) const
 {
     return share * warm.value() + (1 - share) * cold.value();
--- a/src/traffic/service_time.h
+++ b/src/traffic/service_time.h
@@ -4,6 +4,7 @@
 #include "route/route_type.h"
 
 #include <map>
+#include <optional>
 
 namespace cove {
 
@@ -28,8 +29,17 @@
     moving_mean cold; ///< ms at a target that has not handled the object recently
     moving_mean warm; ///< ms at a target that has
 
+    /** Notes the time of one request, in ms, that a target completed. */
+    void note(double elapsed_ms);
+
+    /** @return ms that few requests exceed; nullopt before the first sample. */
+    [[nodiscard]] std::optional<double> slow() const { return slow_; }
+
     /** @return expected ms when the target is warm with probability @p share. */
     [[nodiscard]] double expected(double share) const;
+
+private:
+    std::optional<double> slow_; ///< a maximum that decays with each request
 };
 
 /** Expected service times of all routes and services. */
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -48,7 +48,8 @@
     request.service = event.service;
     request.object = event.object;
     request.arrived = now_;
-    request.expires = now_ + std::min(event.deadline, event.route->timeout);
+    request.allowed_until = now_ + std::min(event.deadline, event.route->timeout);
+    request.expires = std::min(request.allowed_until, answers_due_.value_or(mono_time::max()));
     request.deadline = now_ + event.deadline;
     request.client = event.client;
     request.fingerprint = event.fingerprint;
@@ -228,6 +229,7 @@
         return;
     }
     service_times_.add_sample(request.service, elapsed_ms);
+    times.note(elapsed_ms + connect_ms + request.rtt_ms);
     if (was_cold || queued_at_target) {
         return; // start-up or queueing time hides whether the object was warm
     }
@@ -424,6 +426,21 @@
     }
 }
 
+/**
+ * Limits the requests that no target has yet to the time until the stop. Those that run keep
+ * theirs; what still runs at the stop is answered then.
+ */
+void traffic::on(stop_announced const& event)
+{
+    answers_due_ = event.answers_due;
+    for (auto& [id, request] : requests_) {
+        if (!request.target && !request.relaying) {
+            request.expires = std::min(request.expires, event.answers_due);
+        }
+    }
+    dispatch_all_queues();
+}
+
 void traffic::on(timer_tick const& /*event*/)
 {
     std::vector<request_id> running;
@@ -451,6 +468,11 @@
         refuse(request.id, refusal::gave_up, milliseconds{0});
         return;
     }
+    if (answers_due_ && now_ >= *answers_due_ && request.expires > *answers_due_) {
+        effects_.push_back(cancel_attempt{request.id});
+        refuse(request.id, refusal::lost_answer, milliseconds{0});
+        return;
+    }
     double const waited = as_ms(now_ - request.sent);
     if (request.relaying) {
         return;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -37,6 +37,7 @@
     object_key object;
     mono_time arrived;
     mono_time expires;             ///< the earlier of client deadline and route timeout
+    mono_time allowed_until;       ///< the same, however soon this host stops
     microseconds elapsed_before{}; ///< if a client retry: time since the first try arrived
     mono_time deadline;            ///< deadline of the client
     std::string client;
@@ -145,6 +146,7 @@
     void on(crash_retention_changed const& event);
     void on(relay_ended const& event);
     void on(probe_ended const& event);
+    void on(stop_announced const& event);
     void on(timer_tick const& event);
 
     bool put_target(target_entry const& entry);
@@ -176,6 +178,7 @@
     std::vector<placement_option> rank(pending_request& request, placement_round const& round,
                                        std::vector<placement_candidate>& candidates,
                                        std::vector<std::size_t> const& ranks);
+    [[nodiscard]] bool ends_before_stop(pending_request const& request);
     void wait_or_refuse(pending_request& request, placement_round& round,
                         placement_option const* queued_for);
     void send(pending_request& request, placement_option const& option);
@@ -227,6 +230,7 @@
     bool zone_peers_known_ = true;       ///< see peers_reported
     int hosts_in_total_ = 1;
     std::uint64_t ranked_requests_ = 0;
+    std::optional<mono_time> answers_due_; ///< set once this host stops
 };
 
 } // namespace cove
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -145,12 +145,18 @@
     milliseconds retention{};
 };
 
+/** This host stops. Its requests have to be answered by then. */
+struct stop_announced {
+    mono_time answers_due;
+};
+
 /** Periodic tick: re-examines queued and running requests. */
 struct timer_tick {};
 
 using traffic_event =
     std::variant<request_arrived, attempt_ended, client_disconnected, targets_listed,
                  targets_changed, evacuations_listed, services_listed, peers_reported,
-                 crashes_reported, crash_retention_changed, relay_ended, probe_ended, timer_tick>;
+                 crashes_reported, crash_retention_changed, relay_ended, probe_ended,
+                 stop_announced, timer_tick>;
 
 } // namespace cove
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double ms_per_second = 1000;
+constexpr double us_per_ms = 1000;
 /// Queued requests that are compared with the targets in one turn of the loop.
 constexpr std::size_t max_placed_per_turn = 32;
 /// Interval at which a queue that is not longer is placed as a whole.
@@ -321,9 +322,30 @@
     return rank(request, round, round.remote, ranks);
 }
 
+/**
+ * @return whether the request will certainly or, by the times of others, almost certainly be
+ * answered before this host stops. A request that a target began is lost to its client with the
+ * host.
+ */
+bool traffic::ends_before_stop(pending_request const& request)
+{
+    constexpr double margin_factor = 2; // over times that are rarely exceeded
+    if (!answers_due_ || request.allowed_until <= *answers_due_) {
+        return true;
+    }
+    auto const slow = service_times_.of(*request.route).slow();
+    return slow &&
+           now_ + microseconds(static_cast<std::int64_t>(margin_factor * *slow * us_per_ms)) <=
+               *answers_due_;
+}
+
 /** Sends a queued request, leaves it in the queue, or refuses it. */
 void traffic::place(pending_request& request, placement_round& round)
 {
+    if (!ends_before_stop(request)) {
+        refuse(request.id, refusal::no_room, milliseconds{0});
+        return;
+    }
     if (wants_relay(request) && relay(request)) {
         return;
     }
--- a/tests/host/planned_stop_test.cpp
+++ b/tests/host/planned_stop_test.cpp
@@ -1,6 +1,7 @@
 /** @file What a planned stop answers to requests that come, or run, late in the grace time. */
 
 #include "support/crashing_target.h"
+#include "support/cut_link.h"
 #include "support/raw_client.h"
 #include "support/zone_case.h"
 
@@ -10,6 +11,14 @@
 constexpr milliseconds grace{2000}; ///< in settings_text()
 constexpr milliseconds exit_margin{200};
 
+/** @return the status of the complete answer to a client; 0 if there is none. */
+unsigned status_of(raw_client& client)
+{
+    std::string const& text = client.received();
+    bool const complete = text.find("\r\n\r\n") != std::string::npos;
+    return complete ? static_cast<unsigned>(std::stoul(text.substr(sizeof "HTTP/1.1"))) : 0;
+}
+
 /** A host that is stopped; times are counted from the SIGTERM. */
 class planned_stop : public host_case {
 protected:
@@ -66,14 +75,6 @@
         return *clients.back();
     }
 
-    /** @return the status of the complete answer to a client; 0 if there is none. */
-    static unsigned status_of(raw_client& client)
-    {
-        std::string const& text = client.received();
-        bool const complete = text.find("\r\n\r\n") != std::string::npos;
-        return complete ? static_cast<unsigned>(std::stoul(text.substr(sizeof "HTTP/1.1"))) : 0;
-    }
-
     void expect_all(unsigned expected)
     {
         for (auto const& client : clients) {
@@ -213,5 +214,75 @@
     expect_all(502);
 }
 
+/** Two hosts that are stopped together; the first one has lost its links to the targets. */
+class stopping_pair : public zone_case {
+protected:
+    stopping_pair() : zone_case(2) {}
+};
+
+TEST_F(stopping_pair, relayed_requests_are_not_cut)
+{
+    constexpr milliseconds work{5000};
+    constexpr std::size_t requests = 4;
+    crashing_target target(loop, served, [](std::string const&) { return false; });
+    target.service_time = work;
+    cut_link link(loop, endpoint_of(target.address()));
+    config_document document = desk_config(1, "/a/", false);
+    document.config.routes[0].timeout = milliseconds{8000};
+    std::vector<target_entry> direct(3);
+    for (std::size_t i = 0; i < direct.size(); ++i) {
+        direct[i].id = target_id("t" + std::to_string(i));
+        direct[i].service = service_id("desk");
+        direct[i].address = target.address();
+        direct[i].zone = zone_id("east");
+        direct[i].slots = 256;
+    }
+    auto linked = direct;
+    for (target_entry& entry : linked) {
+        entry.address = link.address();
+    }
+    for (std::size_t i = 0; i < stores.size(); ++i) {
+        stores[i].hosts_listed({});
+        stores[i].config(document);
+        stores[i].targets_listed({i == 0 ? linked : direct, revision(1)});
+    }
+    ASSERT_TRUE(run_until(
+        loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
+    link.cut(link_cut::reset);
+    std::vector<std::unique_ptr<raw_client>> sent;
+    auto const send = [&](std::size_t host) {
+        sent.push_back(std::make_unique<raw_client>(loop, clients[host]));
+        sent.back()->send(raw_request("/a/1"));
+    };
+    ASSERT_TRUE(run_until(loop, [&] {
+        send(0);
+        run_until(
+            loop, [] { return false; }, milliseconds{20});
+        return metric(0, "cove_cut_off_from_targets") == 1;
+    }));
+    sent.clear();
+    int const before = target.requests;
+    for (std::size_t i = 0; i < requests; ++i) {
+        send(0);
+    }
+    ASSERT_TRUE(
+        run_until(loop, [&] { return target.requests == before + static_cast<int>(requests); }));
+    ::raise(SIGTERM);
+    mono_time const stopped_at = read_clocks().mono;
+    loop.restart();
+    while (!loop.stopped() && read_clocks().mono < stopped_at + grace + exit_margin) {
+        loop.run_for(milliseconds{2});
+        if (sent.size() == requests && read_clocks().mono > stopped_at + grace / 3) {
+            send(0);
+            send(1);
+        }
+    }
+    EXPECT_TRUE(loop.stopped());
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        EXPECT_EQ(status_of(*sent[i]), i < requests ? 502U : 503U) << i;
+    }
+    EXPECT_EQ(target.requests, before + static_cast<int>(requests));
+}
+
 } // namespace
 } // namespace cove
