Let no queued request be passed over; measure requests of departed clients too

Cause, found on reading: in a queue of more than a turn's 32 requests, those that wait for no target in particular counted as due in each turn, so the first 32 of them kept the others from being compared. A request whose client had left was not in the histogram of unread times, though it is the one sought. Change: such requests take their turn like the others, and all are due at once when the list of targets changes. The time is taken before the look at the client. loop_late counts from the start of the host.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -35,16 +35,16 @@
 /// Fraction of the grace time after which a leaving host stops accepting connections; the look-up
 /// answers that clients have cached have expired by then.
 constexpr double stop_accept_fraction = 0.4;
-/// Fraction of the grace time after which all requests have been answered, whatever their targets
-/// do.
+/// Fraction of the grace time after which every request is answered, even if its target is not
+/// done.
 constexpr double last_answer_fraction = 0.9;
 /// Fraction of the grace time after which the process exits even if requests are still open.
 constexpr double exit_fraction = 0.97;
 constexpr milliseconds exit_check_interval{20};
-/// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
-/// well.
 /// Room in the head of a relayed request for the fields that the other host adds.
 constexpr std::uint32_t relay_header_bytes = 1024;
+/// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
+/// well.
 constexpr double bulk_answer_bytes_per_second = 400'000;
 /// A client gives up a host that has not read its request after a second; this is a warning before.
 constexpr milliseconds reported_delay{200};
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -109,8 +109,8 @@
     settings_source reload_settings_;
     log_limiter log_;
     loop_monitor monitor_;
-    mono_time work_noted_{};   ///< when monitor_'s longest work was last taken
-    microseconds cpu_noted_{}; ///< processor time of this process until then
+    mono_time work_noted_ = read_clocks().mono; ///< when monitor_'s longest work was last taken
+    microseconds cpu_noted_{};                  ///< processor time of this process until then
     request_forwarder forwarder_;
     http_server clients_;
     http_server readiness_;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -84,8 +84,7 @@
     /** Ends a request that still waits for the connection; its outcome is connect_failed. */
     void give_up_connecting();
 
-    /** Closes the connection; resets it if a request is in progress, so that its rest is not sent.
-     */
+    /** Closes the connection; a request in progress is aborted and its unsent rest discarded. */
     void close();
 
     /** @return whether another request may be sent; checks the socket for a close by the peer. */
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -159,16 +159,16 @@
 
 void server_connection::dispatch_request()
 {
-    if (client_left()) {
-        close();
-        return;
-    }
-    enter_phase(phase::call, no_timeout);
     if (server_.hooks_.unread) {
         if (auto const unread = time_since_receive(socket_.native_handle())) {
             server_.hooks_.unread(*unread);
         }
     }
+    if (client_left()) {
+        close();
+        return;
+    }
+    enter_phase(phase::call, no_timeout);
     http_request request = parser_->release();
     keep_alive_ = request.keep_alive();
     is_head_ = request.method() == http::verb::head;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -325,6 +325,7 @@
     }
     for (auto& [id, request] : requests_) {
         request.queued_for = nullptr; // may have been removed
+        request.placed = {};
     }
     for (auto& [service, balance] : object_balances_) {
         balance.targets_changed();
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -43,7 +43,8 @@
         auto const position = round.position.find(request.queued_for);
         placement_candidate* const awaited =
             position == round.position.end() ? nullptr : &round.local[position->second];
-        bool const due = awaited == nullptr || !awaited->full() || now_ >= request.placed + pause;
+        bool const has_room = awaited != nullptr && !awaited->full();
+        bool const due = has_room || now_ >= request.placed + pause;
         if (due && placed < max_placed_per_turn) {
             ++placed;
             request.queued_for = nullptr;
--- a/tests/traffic/long_queue_test.cpp
+++ b/tests/traffic/long_queue_test.cpp
@@ -19,11 +19,11 @@
         list(target_count, slots);
     }
 
-    /** Lets requests arrive until @p count wait. */
-    void fill_queue(std::size_t count)
+    /** Lets requests arrive until @p count wait. @param objects that they concern; 0: none. */
+    void fill_queue(std::size_t count, std::uint64_t objects = 97)
     {
         for (std::size_t i = 0; i < 2 * count && reducer.queued_requests() < count; ++i) {
-            request_id const id = arrive("o" + std::to_string(next % 97));
+            request_id const id = arrive(objects == 0 ? "" : "o" + std::to_string(next % objects));
             if (auto const sent = single<send_attempt>()) {
                 running[id] = sent->target;
             }
@@ -77,6 +77,19 @@
     }
 }
 
+TEST_F(long_queue, all_its_requests_are_sent_when_there_is_room)
+{
+    constexpr std::size_t waiting = 200;
+    fill_queue(waiting, 0); // those with objects may prefer to wait
+    entries.push_back(target("spare", "home", 2 * waiting));
+    feed(targets_listed{entries});
+    std::size_t sent = of_kind<send_attempt>(effects).size();
+    advance(milliseconds{200});
+    sent += of_kind<send_attempt>(advance_effects).size();
+    EXPECT_GE(sent, waiting);
+    EXPECT_EQ(reducer.queued_requests(), 0U);
+}
+
 TEST_F(long_queue, requests_without_time_left_are_refused_within_a_tick)
 {
     constexpr std::size_t waiting = 800;
