Let an entry host do other work between messages of a burst

Callers: a host without a disruption of its own read their requests late. Cause: all pending messages of other hosts were received in one turn of the loop, as long as any came in; meanwhile no client was read and no timer ran. Change: after 8 messages the loop comes to its other sockets and timers first.

--- a/src/peer/loop_transport.cpp
+++ b/src/peer/loop_transport.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+constexpr int max_messages_per_turn = 8;        ///< received before the loop does other work
 constexpr int send_queue_limit = 64;            ///< messages per peer; more would be outdated
 constexpr int reconnect_interval_ms = 200;      ///< first wait before a reconnect
 constexpr int reconnect_interval_max_ms = 1000; ///< longest wait before a reconnect
@@ -58,21 +59,32 @@
                          [this](boost::system::error_code error) {
                              if (!error) {
                                  receive_pending();
-                                 wait_readable();
                              }
                          });
 }
 
-/** Receives until nothing is pending, because ZeroMQ's descriptor is edge-triggered. */
+/**
+ * Receives until nothing is pending, because ZeroMQ's descriptor is edge-triggered, but lets the
+ * loop do other work after a few messages.
+ */
 void loop_transport::receive_pending()
 {
-    while ((incoming_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+    for (int i = 0; i < max_messages_per_turn; ++i) {
         zmq::message_t message;
-        if (!incoming_.recv(message, zmq::recv_flags::dontwait)) {
+        if ((incoming_.get(zmq::sockopt::events) & ZMQ_POLLIN) == 0 ||
+            !incoming_.recv(message, zmq::recv_flags::dontwait)) {
+            wait_readable();
             return;
         }
         on_message_(message.to_string());
     }
+    // ZeroMQ's descriptor is always writable, so this continues in the next turn.
+    readable_.async_wait(boost::asio::posix::stream_descriptor::wait_write,
+                         [this](boost::system::error_code error) {
+                             if (!error) {
+                                 receive_pending();
+                             }
+                         });
 }
 
 void loop_transport::send(std::string const& ip, std::string const& bytes)
--- /dev/null
+++ b/tests/peer/loop_transport_test.cpp
@@ -0,0 +1,84 @@
+/** @file Messages between hosts on the event loop. */
+
+#include "core/time_type.h"
+#include "peer/loop_transport.h"
+#include "support/free_port.h"
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace cove {
+namespace {
+
+/** A receiver on a loop that the test runs, and a sender without a loop. */
+class message_burst : public testing::Test {
+protected:
+    static constexpr int messages = 600;
+    static constexpr milliseconds limit{5000};
+
+    message_burst()
+        : receiver(loop, port, [this](std::string const&) { ++received; }),
+          sender(context, zmq::socket_type::push)
+    {
+        EXPECT_TRUE(receiver.start("127.0.0.1"));
+        sender.set(zmq::sockopt::linger, 0);
+        sender.connect("tcp://" + loopback(port));
+    }
+
+    /** Sends messages, as those of many hosts; drops none. */
+    void send(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            sender.send(zmq::str_buffer("message"), zmq::send_flags::none);
+        }
+    }
+
+    /** Runs the loop until @p count messages have been received. */
+    bool receive(int count)
+    {
+        auto const end = std::chrono::steady_clock::now() + limit;
+        while (received < count && std::chrono::steady_clock::now() < end) {
+            loop.restart();
+            loop.run_for(milliseconds{2});
+        }
+        return received >= count;
+    }
+
+    boost::asio::io_context loop;
+    zmq::context_t context;
+    int const port = free_port();
+    int received = 0;
+    loop_transport receiver;
+    zmq::socket_t sender;
+};
+
+TEST_F(message_burst, does_not_keep_the_loop_from_other_work)
+{
+    constexpr int bound = 100; // of the messages that hundreds of hosts send in a moment
+    send(1);
+    ASSERT_TRUE(receive(1)); // the connection is open
+    send(messages);
+    std::this_thread::sleep_for(milliseconds{300}); // until they have arrived
+    int most = 0;
+    int last = received;
+    std::function<void()> other_work = [&] {
+        most = std::max(most, received - last);
+        last = received;
+        boost::asio::post(loop, other_work);
+    };
+    boost::asio::post(loop, other_work);
+    ASSERT_TRUE(receive(messages + 1));
+    EXPECT_LE(std::max(most, received - last), bound);
+}
+
+TEST_F(message_burst, is_received_to_the_last_message)
+{
+    for (int burst = 1; burst <= 5; ++burst) {
+        send(messages);
+        EXPECT_TRUE(receive(burst * messages)) << received;
+    }
+}
+
+} // namespace
+} // namespace cove
