--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -324,9 +324,8 @@
 }
 
 /**
- * @return whether the request will certainly or, by the times of others, almost certainly be
- * answered before this host stops. A request that a target began is lost to its client with the
- * host.
+ * @return whether the request ends before this host stops, by its own limit or by twice the time
+ * that few requests of its route exceed.
  */
 bool traffic::ends_before_stop(pending_request const& request)
 {
