--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -64,6 +64,9 @@
 
 void record::line(std::string const& text)
 {
+    if (paused_) {
+        return;
+    }
     std::lock_guard const lock(mutex_);
     std::FILE* const to = file_ == nullptr ? stdout : file_;
     std::fprintf(to, "%s  %s\n", three_decimals(now()).c_str(), text.c_str());
@@ -223,6 +226,12 @@
     return state_.objects[kind].size();
 }
 
+bool store::has(std::string const& kind, std::string const& name)
+{
+    std::lock_guard const lock(mutex_);
+    return state_.objects[kind].contains(name);
+}
+
 void store::list(httplib::Request const& request, httplib::Response& response)
 {
     std::lock_guard const lock(mutex_);
@@ -677,6 +686,76 @@
     return out;
 }
 
+json once_config()
+{
+    json config = config_spec(2, {{"/desk/", "desk"}});
+    for (json& each : config["resources"]) {
+        if (each["resource_kind"] == "routes") {
+            each["spec"]["sticky_sessions"] = true;
+            each["spec"]["kind"] = "non_idempotent";
+            each["spec"]["timeout"] = "5000ms";
+        }
+    }
+    return config;
+}
+
+httplib::Headers attempt_headers(std::string const& attempt)
+{
+    return {{"Host", "desk.example"},
+            {"X-Attempt-Id", attempt},
+            {"X-Deadline-Ms", "5000"},
+            {"X-Affinity-Key", attempt}};
+}
+
+kept_callers::kept_callers(deployment& all, int count) : all_(all)
+{
+    for (int i = 0; i < count; ++i) {
+        threads_.emplace_back([this, i] { run(i); });
+    }
+}
+
+kept_callers::~kept_callers()
+{
+    end();
+}
+
+int kept_callers::end()
+{
+    done_ = true;
+    for (std::thread& each : threads_) {
+        each.join();
+    }
+    threads_.clear();
+    return lost_;
+}
+
+void kept_callers::run(int number)
+{
+    constexpr double pause_s = 0.05;
+    auto const index = static_cast<std::size_t>(number) % all_.machines.size();
+    machine const& host = *all_.machines[index];
+    httplib::Client client(host.ip(), all_.where.front());
+    client.set_keep_alive(true);
+    client.set_connection_timeout(1);
+    client.set_read_timeout(5);
+    bool kept = false;
+    for (int i = 0; !done_; ++i) {
+        std::string const attempt = "c" + std::to_string(number) + "-" + std::to_string(i);
+        auto const got = client.Post("/desk/short", attempt_headers(attempt), "x", "text/plain");
+        int const status = got ? got->status : 0;
+        ++asked_;
+        served_ += status == 200 ? 1 : 0;
+        record::get().line("client gets " + std::to_string(status) + " for " + attempt + " from " +
+                           host.name() + (kept ? "" : " (new connection)"));
+        if (status == 0 && kept && !all_.runs.of(attempt).empty()) {
+            record::get().line("lost: " + attempt + " ran, its kept connection was closed");
+            ++lost_;
+        }
+        kept = status != 0;
+        sleep_s(pause_s);
+    }
+}
+
 int play_case(int argc, char** argv, std::function<int(deployment&)> const& play)
 {
     constexpr int arguments = 4;
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -31,11 +31,14 @@
     static record& get();
     void open(std::string const& path);
     void line(std::string const& text);
+    /** Leaves out lines that are not needed to follow the case. */
+    void pause(bool paused) { paused_ = paused; }
     [[nodiscard]] double now() const;
 
 private:
     std::mutex mutex_;
     std::FILE* file_ = nullptr;
+    std::atomic<bool> paused_{false};
     steady::time_point start_ = steady::now();
 };
 
@@ -81,6 +84,7 @@
 
     [[nodiscard]] std::uint64_t revision();
     [[nodiscard]] std::size_t count(std::string const& kind);
+    [[nodiscard]] bool has(std::string const& kind, std::string const& name);
 
 private:
     struct object {
@@ -280,6 +284,38 @@
     int next_server_ = 0;
 };
 
+/** @return version 2, with a sticky route of requests that may run once. */
+json once_config();
+
+/** @return the fields of a request that is not like another one. */
+httplib::Headers attempt_headers(std::string const& attempt);
+
+/** Clients that keep their connections and send short requests that may run once. */
+class kept_callers {
+public:
+    kept_callers(deployment& all, int count);
+    ~kept_callers();
+    kept_callers(kept_callers const&) = delete;
+    kept_callers& operator=(kept_callers const&) = delete;
+    kept_callers(kept_callers&&) = delete;
+    kept_callers& operator=(kept_callers&&) = delete;
+
+    /** Ends them. @return requests that ran and whose kept connection was closed instead. */
+    int end();
+    [[nodiscard]] int served() const { return served_; }
+    [[nodiscard]] int asked() const { return asked_; }
+
+private:
+    void run(int number);
+
+    deployment& all_;
+    std::atomic<bool> done_{false};
+    std::atomic<int> lost_{0};
+    std::atomic<int> served_{0};
+    std::atomic<int> asked_{0};
+    std::vector<std::thread> threads_;
+};
+
 /** Runs a case with the arguments FOLDER PROGRAM RECORD. @return the exit code. */
 int play_case(int argc, char** argv, std::function<int(deployment&)> const& play);
 
