--- a/review/build.sh
+++ b/review/build.sh
@@ -18,3 +18,15 @@
     number=${number%.o}
     g++ "$object" build-review/stand.o "${libraries[@]}" -o "build-review/drill-$number"
 done
+# Case 5 starts the build that the users ran before: the last commit of the sitting of 4 December.
+production=6c824d3
+if [ -d review/5 ] && [ ! -x build-review/production/target/cove-host ]; then
+    mkdir -p build-review/production
+    if git archive "$production" | tar -x -C build-review/production --exclude=journal; then
+        (cd build-review/production &&
+            cmake -S . -B target -DCMAKE_BUILD_TYPE=Release -DCOVE_PROGRAMS_ONLY=ON &&
+            cmake --build target --target cove-host -j6)
+    else
+        echo "no commit $production in this checkout: case 5 can't run"
+    fi
+fi
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -440,32 +440,36 @@
     for (std::string const& zone : layout_.zones) {
         regions[zone] = "r1";
     }
-    json const settings{{"name", name_},
-                        {"zone", zone_},
-                        {"region", "r1"},
-                        {"regions", regions},
-                        {"client_address", at(layout_.front())},
-                        {"readiness_address", at(layout_.readiness())},
-                        {"directory_address", at(layout_.directory())},
-                        {"metrics_address", at(layout_.first_port + metrics_offset)},
-                        {"ip", ip_},
-                        {"peer_port", layout_.first_port + peer_offset},
-                        {"relay_port", layout_.first_port + relay_offset},
-                        {"seeds", seeds},
-                        {"store_address", "127.0.0.1:" + std::to_string(layout_.store())},
-                        {"heartbeat", "1500ms"},
-                        {"drain", "2000ms"},
-                        {"grace", "6s"},
-                        {"answer_lifetime_max", "5s"},
-                        {"repeat_ratio", 0.2},
-                        {"repeat_window", "10s"},
-                        {"repeat_slack", 56},
-                        {"shift_cap", 0.15},
-                        {"first_start", first_start}};
+    json settings{{"name", name_},
+                  {"zone", zone_},
+                  {"region", "r1"},
+                  {"regions", regions},
+                  {"client_address", at(layout_.front())},
+                  {"readiness_address", at(layout_.readiness())},
+                  {"directory_address", at(layout_.directory())},
+                  {"metrics_address", at(layout_.first_port + metrics_offset)},
+                  {"ip", ip_},
+                  {"peer_port", layout_.first_port + peer_offset},
+                  {"relay_port", layout_.first_port + relay_offset},
+                  {"seeds", seeds},
+                  {"store_address", "127.0.0.1:" + std::to_string(layout_.store())},
+                  {"heartbeat", "1500ms"},
+                  {"drain", "2000ms"},
+                  {"grace", "6s"},
+                  {"answer_lifetime_max", "5s"},
+                  {"repeat_ratio", 0.2},
+                  {"repeat_window", "10s"},
+                  {"repeat_slack", 56},
+                  {"shift_cap", 0.15},
+                  {"first_start", first_start}};
+    if (!relays) {
+        settings.erase("relay_port");
+    }
+    std::string const runs = program.empty() ? layout_.program : program;
     std::string const file = layout_.folder + "/" + name_ + ".json";
     std::ofstream(file) << settings.dump(1) << "\n";
     std::string const log = layout_.folder + "/" + name_ + ".out";
-    std::vector<std::string> words{layout_.program, "--settings", file};
+    std::vector<std::string> words{runs, "--settings", file};
     std::vector<char*> arguments;
     arguments.reserve(words.size() + 1);
     for (std::string& word : words) {
@@ -478,15 +482,15 @@
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     int const failed =
-        ::posix_spawn(&pid_, layout_.program.c_str(), &actions, nullptr, arguments.data(), environ);
+        ::posix_spawn(&pid_, runs.c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0) {
-        record::get().line("cannot start " + layout_.program);
+        record::get().line("cannot start " + runs);
         std::exit(exit_not_run); // NOLINT(concurrency-mt-unsafe)
     }
     std::ofstream(layout_.folder + "/pids", std::ios::app) << pid_ << "\n";
     record::get().line("machine " + name_ + " (" + zone_ + ", " + ip_ + ") starts, process " +
-                       std::to_string(pid_));
+                       std::to_string(pid_) + (program.empty() ? "" : ", of the build before"));
 }
 
 void machine::signal(int number) const
@@ -646,14 +650,23 @@
     }
 }
 
-void deployment::start_machines(std::size_t zone, int first, int last, bool first_start)
+std::size_t deployment::add_machines(std::size_t zone, int first, int last)
 {
     for (int number = first; number <= last; ++number) {
         machines.push_back(std::make_unique<machine>(
             where, where.zones[zone] + "-" + std::to_string(number), where.zones[zone],
             "127.77." + std::to_string(zone + 1) + "." + std::to_string(number)));
         machines.back()->seeds = {"127.77.1.1:1", "127.77.2.1:1"};
-        machines.back()->start(first_start);
+    }
+    return static_cast<std::size_t>(last - first + 1);
+}
+
+void deployment::start_machines(std::size_t zone, int first, int last, bool first_start)
+{
+    std::size_t const known = machines.size();
+    add_machines(zone, first, last);
+    for (std::size_t i = known; i < machines.size(); ++i) {
+        machines[i]->start(first_start);
     }
 }
 
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -213,6 +213,8 @@
     [[nodiscard]] std::string const& zone() const { return zone_; }
     [[nodiscard]] pid_t pid() const { return pid_; }
     std::vector<std::string> seeds;
+    std::string program; ///< cove-host; empty: that of the layout
+    bool relays = true;  ///< whether the build of the program knows relay_port
 
 private:
     layout const& layout_;
@@ -266,6 +268,8 @@
     /** Starts two servers of each service in each zone and writes the first configuration. */
     void start_servers(std::vector<std::string> const& services);
     void add_server(std::string const& service, std::string const& zone);
+    /** Adds machines of a zone, numbers @p first to @p last, without starting them. */
+    std::size_t add_machines(std::size_t zone, int first, int last);
     /** Starts machines of a zone: numbers @p first to @p last. */
     void start_machines(std::size_t zone, int first, int last, bool first_start);
     /** @return whether all machines are ready in that time. */
