--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -652,13 +652,14 @@
 
 std::size_t deployment::add_machines(std::size_t zone, int first, int last)
 {
+    std::size_t const known = machines.size();
     for (int number = first; number <= last; ++number) {
         machines.push_back(std::make_unique<machine>(
             where, where.zones[zone] + "-" + std::to_string(number), where.zones[zone],
             "127.77." + std::to_string(zone + 1) + "." + std::to_string(number)));
         machines.back()->seeds = {"127.77.1.1:1", "127.77.2.1:1"};
     }
-    return static_cast<std::size_t>(last - first + 1);
+    return machines.size() - known;
 }
 
 void deployment::start_machines(std::size_t zone, int first, int last, bool first_start)
