Let hosts follow the store in place of replaced ones

Cause: the store keeps the address of a host that is gone. host_view counted an address that never reported as a host that precedes this one and has the store, without a limit of time. Two such names in front of a zone's hosts, and nobody followed. Each use judged by itself whether a contact counts.

Change: one state of a zone peer (starting, alive, leaving, silent, gone), with a limit of time for each, that all uses ask. An address that does not report within two seconds counts for nothing until it is heard. New addresses get a discovery message at once, sixteen in a tick, in place of the first sixteen by name each second.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -183,7 +183,7 @@
     out.hosts_listed = [this](std::vector<host_record> const& hosts) {
         hosts_listed_ = true;
         for (host_record const& host : hosts) {
-            view_.add_contact(host.name, host.zone, host.ip);
+            view_.add_contact(host.name, host.zone, host.ip, read_clocks().mono);
         }
     };
     out.answer_processed = [this](microseconds time) { monitor_.add_work("store_answer", time); };
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -113,9 +113,8 @@
     peers.hosts_in_zone = zone_serving_;
     if (now < started_ + discovery_time) {
         peers.zone_peers_known = hosts_listed_;
-        auto const unconfirmed = view_.unconfirmed_zone_peers();
-        peers.hosts_in_zone.insert(peers.hosts_in_zone.end(), unconfirmed.begin(),
-                                   unconfirmed.end());
+        auto const starting = view_.starting_zone_peers(now);
+        peers.hosts_in_zone.insert(peers.hosts_in_zone.end(), starting.begin(), starting.end());
     }
     for (host_report const* const host : view_.zone_hosts(now)) {
         if (host->name != node_id(settings_.name)) {
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -15,6 +15,8 @@
 /// Reports go on for this long to a zone peer that is considered dead: both may only have lost each
 /// other's messages.
 constexpr milliseconds silent_peer_retention{10'000};
+/// A host whose address has become known, and that runs, has answered a discovery message by then.
+constexpr milliseconds start_timeout{2000};
 /// A remote zone without a newer status for this long is considered dead: three rounds of messages
 /// between zones, plus the relay inside the zone.
 constexpr milliseconds remote_zone_timeout{3500};
@@ -22,8 +24,8 @@
 constexpr std::uint64_t zone_gossip_interval_ticks = 4;
 /// Ticks between messages to hosts that have not been heard from.
 constexpr std::uint64_t discovery_interval_ticks = 4;
-/// Zone peers that get a periodic report, or a discovery message, in one tick; with 53 hosts in a
-/// zone, reports then cost 8 KB/s.
+/// Zone peers that get a periodic report, or a first discovery message, in one tick; with 53 hosts
+/// in a zone, reports then cost 8 KB/s.
 constexpr std::size_t gossip_fanout = 16;
 /// Rounds between zones that carry a changed roster; a single one may go to a host that just died.
 constexpr std::uint64_t roster_change_rounds = 3;
@@ -38,7 +40,8 @@
 {
 }
 
-void host_view::add_contact(node_id const& name, zone_id const& zone, std::string const& ip)
+void host_view::add_contact(node_id const& name, zone_id const& zone, std::string const& ip,
+                            mono_time now)
 {
     if (name == self_.name) {
         return;
@@ -49,12 +52,17 @@
         known.ip = ip;
         return;
     }
-    auto const [found, inserted] = zone_peers_.try_emplace(name);
-    if (!found->second.has_reported) {
-        found->second.report.name = name;
-        found->second.report.zone = zone;
-        found->second.report.ip = ip;
+    zone_peer& known = zone_peers_[name];
+    bool const replaced = known.has_reported && state_of(known, now) == peer_state::gone;
+    if (known.report.ip == ip || (known.has_reported && !replaced)) {
+        return;
     }
+    known = {};
+    known.report.name = name;
+    known.report.zone = zone;
+    known.report.ip = ip;
+    known.known_since = now;
+    contacts_to_greet_.push_back(name);
 }
 
 void host_view::add_seed(std::string const& ip)
@@ -66,12 +74,34 @@
 
 std::uint64_t host_view::ticks_per_zone_round() const
 {
-    return std::max<std::uint64_t>(1, (zone_peers_.size() + gossip_fanout - 1) / gossip_fanout);
+    return std::max<std::uint64_t>(1, (reporting_peers_ + gossip_fanout - 1) / gossip_fanout);
+}
+
+void host_view::count_reporting_peers(mono_time now)
+{
+    reporting_peers_ = static_cast<std::size_t>(
+        std::count_if(zone_peers_.begin(), zone_peers_.end(), [now](auto const& item) {
+            return item.second.has_reported && now - item.second.last_heard < silent_peer_retention;
+        }));
+}
+
+peer_state host_view::state_of(zone_peer const& host, mono_time now) const
+{
+    if (!host.has_reported) {
+        return now - host.known_since < start_timeout ? peer_state::starting : peer_state::gone;
+    }
+    milliseconds const timeout = zone_peer_timeout * ticks_per_zone_round();
+    if (now - host.last_heard < timeout) {
+        return host.report.leaving ? peer_state::leaving : peer_state::alive;
+    }
+    bool const recent = now - host.last_heard < std::max(timeout, silent_peer_retention);
+    return recent ? peer_state::silent : peer_state::gone;
 }
 
 bool host_view::is_alive(zone_peer const& host, mono_time now) const
 {
-    return host.has_reported && now - host.last_heard < zone_peer_timeout * ticks_per_zone_round();
+    peer_state const state = state_of(host, now);
+    return state == peer_state::alive || state == peer_state::leaving;
 }
 
 bool host_view::is_alive(remote_zone const& zone, mono_time now) const
@@ -84,7 +114,7 @@
     return std::none_of(zone_peers_.begin(), zone_peers_.end(), [this, now](auto const& item) {
         auto const& [name, host] = item;
         bool const precedes = name < self_.name || self_.leaving;
-        return precedes && is_alive(host, now) && !host.report.leaving;
+        return precedes && state_of(host, now) == peer_state::alive;
     });
 }
 
@@ -190,7 +220,8 @@
     std::uint64_t turn = ticks_;
     std::vector<std::string> ips;
     for (auto const& [name, host] : zone_peers_) {
-        if (!host.has_reported || now - host.last_heard >= silent_peer_retention) {
+        peer_state const state = state_of(host, now);
+        if (state == peer_state::starting || state == peer_state::gone) {
             continue;
         }
         if (turn++ % ticks_per_zone_round() == 0 || !message.zones.empty()) {
@@ -264,6 +295,23 @@
     return {ips.begin(), ips.end()};
 }
 
+/** Sends a discovery message to zone peers whose address is new, to a few of them per tick. */
+void host_view::greet_new_contacts(host_effects& out, mono_time now)
+{
+    std::vector<std::string> receivers;
+    while (!contacts_to_greet_.empty() && receivers.size() < gossip_fanout) {
+        zone_peer const& host = zone_peers_[contacts_to_greet_.back()];
+        contacts_to_greet_.pop_back();
+        if (!host.has_reported) {
+            receivers.push_back(host.report.ip);
+        }
+    }
+    if (!receivers.empty()) {
+        out.push_back({std::move(receivers),
+                       gossip{self_.name, self_.ip, {self_}, {own_status(now, true)}, true}});
+    }
+}
+
 /** Sends discovery messages: finds hosts at the start and again after a network partition. */
 void host_view::send_discovery(host_effects& out, mono_time now)
 {
@@ -278,8 +326,8 @@
         return;
     }
     std::vector<std::string> receivers;
-    for (auto const& [name, host] : zone_peers_) {
-        if (!host.has_reported && receivers.size() < gossip_fanout) { // zone peers come first
+    for (auto const& [name, host] : zone_peers_) { // zone peers come first
+        if (state_of(host, now) == peer_state::starting && receivers.size() < gossip_fanout) {
             receivers.push_back(host.report.ip);
         }
     }
@@ -291,7 +339,9 @@
 {
     host_effects out;
     refresh_self(own);
+    count_reporting_peers(now);
     gossip_within_zone(out, now);
+    greet_new_contacts(out, now);
     if (ticks_ % zone_gossip_interval_ticks == 0 && is_speaker(now)) {
         gossip_to_other_zones(out, now);
     }
@@ -342,7 +392,9 @@
             serving_changed_ || !host.has_reported ||
             report.incarnation != host.report.incarnation || report.ready != host.report.ready ||
             report.cut_off != host.report.cut_off || report.leaving != host.report.leaving;
-        host = {report, now, true};
+        bool const reporting = host.has_reported && now - host.last_heard < silent_peer_retention;
+        reporting_peers_ += reporting ? 0 : 1;
+        host = {report, now, true, host.known_since};
     }
 }
 
@@ -350,7 +402,7 @@
 {
     if (status.zone == self_.zone) {
         for (roster_host const& host : status.roster.value_or(std::vector<roster_host>())) {
-            add_contact(host.name, host.zone, host.ip);
+            add_contact(host.name, host.zone, host.ip, now);
         }
         return;
     }
@@ -465,9 +517,9 @@
     int preceding = 0;
     int preceding_with_store = 0;
     for (auto const& [name, host] : zone_peers_) {
-        // A host that never sent a report may be starting at the same time as this one.
-        bool const counts = is_alive(host, now) || !host.has_reported;
-        if (!(name < self_.name) || !counts || host.report.leaving) {
+        peer_state const state = state_of(host, now);
+        bool const counts = state == peer_state::alive || state == peer_state::starting;
+        if (!(name < self_.name) || !counts) {
             continue;
         }
         ++preceding;
@@ -476,11 +528,11 @@
     return preceding < max_followers || preceding_with_store < max_followers;
 }
 
-std::vector<node_id> host_view::unconfirmed_zone_peers() const
+std::vector<node_id> host_view::starting_zone_peers(mono_time now) const
 {
     std::vector<node_id> out;
     for (auto const& [name, host] : zone_peers_) {
-        if (!host.has_reported) {
+        if (state_of(host, now) == peer_state::starting) {
             out.push_back(name);
         }
     }
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -17,11 +17,21 @@
 
 using host_effects = std::vector<outgoing_host_message>;
 
+/** Whether another host of this zone is running, as far as this host can tell. */
+enum class peer_state {
+    starting, ///< known by address for so short a time that its first report may still arrive
+    alive,    ///< reports arrive
+    leaving,  ///< reports arrive and announce its shutdown
+    silent,   ///< reports have ceased; it may have lost only its messages
+    gone,     ///< never reported or silent for long; counts for nothing until it is heard
+};
+
 /** What this host knows of another host of its own zone. */
 struct zone_peer {
     host_report report;
     mono_time last_heard{};    ///< when a newer report was last received
     bool has_reported = false; ///< false while only the address is known and no report was received
+    mono_time known_since{};   ///< when this address was first received
 };
 
 /** What this host knows of another zone. */
@@ -76,8 +86,9 @@
      */
     host_view(host_report self, std::uint64_t seed);
 
-    /** Adds the address of a host that may be running. */
-    void add_contact(node_id const& name, zone_id const& zone, std::string const& ip);
+    /** Adds the address of a host that may be running, or has been replaced long ago. */
+    void add_contact(node_id const& name, zone_id const& zone, std::string const& ip,
+                     mono_time now);
 
     /** Adds the address of a host whose name is not known, as configured in the settings. */
     void add_seed(std::string const& ip);
@@ -104,8 +115,8 @@
      * of a member that changes the view. */
     [[nodiscard]] std::vector<host_report const*> zone_hosts(mono_time now) const;
 
-    /** @return zone peers known by name and address from which no report was ever received. */
-    [[nodiscard]] std::vector<node_id> unconfirmed_zone_peers() const;
+    /** @return zone peers that may be starting; no report of them was received yet. */
+    [[nodiscard]] std::vector<node_id> starting_zone_peers(mono_time now) const;
 
     /** @return the status, without roster, of each live zone, this one first. */
     [[nodiscard]] std::vector<zone_status> zones(mono_time now) const;
@@ -113,8 +124,8 @@
     /**
      * Only some hosts of a zone follow the platform's store; the others get its data from them.
      * @param max_followers number of hosts of a zone that follow the store.
-     * @return whether this host follows the store: it is among the first by name, or it replaces
-     * one of those that has lost the store.
+     * @return whether this host follows the store: it is among the first by name of the hosts that
+     * are alive or starting, or it replaces one of those that has lost the store.
      */
     [[nodiscard]] bool follows_store(int max_followers, mono_time now) const;
 
@@ -143,6 +154,8 @@
 
 private:
     [[nodiscard]] std::uint64_t ticks_per_zone_round() const;
+    void count_reporting_peers(mono_time now);
+    [[nodiscard]] peer_state state_of(zone_peer const& host, mono_time now) const;
     [[nodiscard]] bool is_alive(zone_peer const& host, mono_time now) const;
     [[nodiscard]] bool is_alive(remote_zone const& zone, mono_time now) const;
     [[nodiscard]] bool is_speaker(mono_time now) const;
@@ -157,6 +170,7 @@
     void gossip_within_zone(host_effects& out, mono_time now);
     roster_host const& choose_receiver(std::vector<roster_host> const& hosts);
     void gossip_to_other_zones(host_effects& out, mono_time now);
+    void greet_new_contacts(host_effects& out, mono_time now);
     void send_discovery(host_effects& out, mono_time now);
     void merge_report(host_report const& report, mono_time now);
     void merge_zone_status(zone_status const& status, bool relay, mono_time now);
@@ -164,6 +178,8 @@
     host_report self_;
     random_engine random_;
     std::map<node_id, zone_peer> zone_peers_;     ///< without this host
+    std::size_t reporting_peers_ = 0;             ///< zone peers that get the reports of this host
+    std::vector<node_id> contacts_to_greet_;      ///< zone peers that no message was sent to yet
     std::map<zone_id, remote_zone> remote_zones_; ///< without this zone
     std::map<node_id, remote_host> remote_hosts_;
     std::set<std::string> seeds_; ///< IPs from which no message or report was received yet
