Order the store's data by era and revision

Cause: the store gives revisions out again after a return, and the hosts compared revisions alone. Lists, changes, pulls and reports of the new state looked older than the state that had been lost; the watch went on from the lower revision, so that what was dropped never came again. Nothing read the era.

Change: store_position, era and then revision, in place of the bare revision everywhere it is kept, compared or sent. The store client reads the era from every answer. A later era, also one that a peer names, makes the followers list again, and each host writes its address again, spread over the hosts. An answer to a watch from another era, a list whose pages are of two eras and a late answer of an earlier era change nothing. What was known before the return holds while it may be written again: entries and evacuations that the copy lacks, that a target leaves or has left, a later incarnation of a target. Messages of hosts that name no era count as of the receiver's.

Related path, in the same change as it is in the same lists: a target that a host held for a moment after an outage of the store went to its peers as an ordinary entry, and they kept it for good.

The tests of followers, lists, messages and of a zone of 13 hosts name the new type and were run with the change only.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -45,6 +45,24 @@
     list_deferred_ = true;
 }
 
+void follower::enter_era(store_era era)
+{
+    era_ = std::max(era_, era);
+    if (!listed_ || at_.era >= era_) {
+        return; // the next answer is of this era already, or its list is not older
+    }
+    listed_ = false;
+    timers_.cancel(next_call_);
+    if (call_pending_) {
+        calls_.abort();
+        call_pending_ = false;
+    }
+    list_deferred_ = !active_;
+    if (active_) {
+        call_store();
+    }
+}
+
 void follower::set_active(bool active)
 {
     if (active == active_) {
@@ -74,9 +92,9 @@
 void follower::call_store()
 {
     call_pending_ = true;
-    auto const done = [this](follow_result const& answer) {
+    auto const done = [this, watched = listed_](follow_result const& answer) {
         call_pending_ = false;
-        on_answer(answer);
+        on_answer(answer, watched);
     };
     if (listed_) {
         // After a failure, an answer without delay tells that the store is back.
@@ -87,19 +105,18 @@
     }
 }
 
-void follower::on_answer(follow_result const& answer)
+/** @param watched whether it is the answer to a watch, as opposed to a list. */
+void follower::on_answer(follow_result const& answer, bool watched)
 {
+    era_ = std::max(era_, answer.at.era);
+    if (at_.era < era_) {
+        listed_ = false; // the copy is of an earlier era
+    }
     switch (answer.status) {
     case follow_status::done:
-        retry_delays_.reset();
         set_reachable(true, "");
         last_answer_ = read_clocks().mono;
-        at_ = listed_ ? std::max(at_, answer.at) : answer.at;
-        listed_ = true;
-        next_list_ = read_freshness::current;
-        if (active_) {
-            schedule_call(batch_delay_);
-        }
+        on_data(answer.at, watched);
         break;
     case follow_status::history_expired:
         listed_ = false;
@@ -112,6 +129,25 @@
     }
 }
 
+void follower::on_data(store_position at, bool watched)
+{
+    if (at.era < era_) { // sent before the store went back
+        schedule_call(retry_delays_.next_delay());
+        return;
+    }
+    retry_delays_.reset();
+    if (watched && !listed_) { // changes of a later era, which do not follow on from the copy
+        call_store();
+        return;
+    }
+    at_ = watched ? std::max(at_, at) : at;
+    listed_ = true;
+    next_list_ = read_freshness::current;
+    if (active_) {
+        schedule_call(batch_delay_);
+    }
+}
+
 void follower::schedule_call(milliseconds delay)
 {
     next_call_ = timers_.once(read_clocks().mono + delay, [this] { call_store(); });
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -2,9 +2,9 @@
 /** @file Keeps a local copy of one kind of the platform store's objects up to date. */
 
 #include "core/backoff.h"
+#include "core/store_position_type.h"
 #include "core/time_type.h"
 #include "http/loop_timers.h"
-#include "traffic/target_type.h"
 
 #include <functional>
 #include <string>
@@ -21,10 +21,10 @@
 /** Whether the store may answer with data that is seconds old; such calls cost a tenth. */
 enum class read_freshness { current, may_be_stale };
 
-/** The outcome of a call and the revision to continue from. */
+/** The outcome of a call and the position to continue from. */
 struct follow_result {
     follow_status status = follow_status::failed;
-    revision at;
+    store_position at;  ///< only the era, if the call was not done; that may be unknown
     std::string detail; ///< reason of a failure, for the log
 };
 
@@ -32,13 +32,16 @@
 struct follow_calls {
     using done = std::function<void(follow_result)>;
     std::function<void(read_freshness, done)> list;
-    /// Waits for changes after the revision, at most for the given time.
-    std::function<void(revision, milliseconds, done)> watch;
+    /// Waits for changes after the position, at most for the given time.
+    std::function<void(store_position, milliseconds, done)> watch;
     std::function<void()> abort; ///< cancels the pending call; its done is not called
     std::function<void(bool up, std::string const& detail)> reachable; ///< on each change
 };
 
-/** Lists all objects once, then watches for changes; retries failed calls with backoff. */
+/**
+ * Lists all objects once, then watches for changes; retries failed calls with backoff. Lists again
+ * in each new era of the store.
+ */
 class follower {
 public:
     follower(loop_timers& timers, follow_calls calls, std::uint64_t seed);
@@ -65,6 +68,9 @@
      */
     void delivered_by_peers();
 
+    /** Tells that the store has come back in @p era; lists at once if active. */
+    void enter_era(store_era era);
+
     /** Starts or stops watching. While inactive, changes come from peers instead. */
     void set_active(bool active);
 
@@ -91,7 +97,8 @@
 
 private:
     void call_store();
-    void on_answer(follow_result const& answer);
+    void on_answer(follow_result const& answer, bool watched);
+    void on_data(store_position at, bool watched);
     void schedule_call(milliseconds wait);
     void set_reachable(bool up, std::string const& detail);
 
@@ -100,7 +107,8 @@
     backoff retry_delays_;
     milliseconds batch_delay_ = default_batch_delay;
     milliseconds longest_wait_ = default_longest_wait;
-    revision at_;
+    store_position at_; ///< of the copy
+    store_era era_;     ///< latest one known
     bool active_ = false;
     bool listed_ = false;
     read_freshness next_list_ = read_freshness::current;
--- a/src/follow/known_versions_type.h
+++ b/src/follow/known_versions_type.h
@@ -2,7 +2,7 @@
 /** @file The versions of the store's data that a host has. */
 
 #include "core/ids_type.h"
-#include "traffic/target_type.h"
+#include "core/store_position_type.h"
 
 #include <algorithm>
 
@@ -11,8 +11,8 @@
 /** The versions of a host's copies of the store's data. */
 struct known_versions {
     generation config;
-    revision targets;
-    revision evacuations;
+    store_position targets;
+    store_position evacuations;
 
     /** @return whether nothing in @p other is newer. */
     [[nodiscard]] bool covers(known_versions const& other) const
@@ -21,6 +21,9 @@
                evacuations >= other.evacuations;
     }
 
+    /** @return the latest era of the store that this data is of. */
+    [[nodiscard]] store_era era() const { return std::max(targets.era, evacuations.era); }
+
     /** Sets each version to the newer one of this and @p other. */
     void merge(known_versions const& other)
     {
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -30,6 +30,8 @@
 /// The same for the second one, which only has to notice what the first one misses.
 constexpr double standby_batch_fraction = 0.33;
 constexpr milliseconds store_retry_delay{500}; ///< multiplied by the number of failures so far
+/// Mean time between the hosts that write their addresses again after the store has lost them.
+constexpr milliseconds registration_interval{10};
 constexpr milliseconds share_update_interval{
     500}; ///< short, so that each step is too small to notice
 /// Fraction of the grace time after which a leaving host stops accepting connections; the look-up
@@ -169,17 +171,14 @@
     };
     out.evacuations_listed = [this](evacuation_snapshot const& list) { apply(list); };
     out.evacuations_changed = [this](std::vector<std::pair<zone_id, bool>> const& changes,
-                                     revision at) {
-        if (at <= evacuations_at_) {
-            return;
-        }
-        evacuation_snapshot next{evacuated_, at};
-        for (auto const& [zone, begun] : changes) {
-            begun ? (void)next.zones.insert(zone) : (void)next.zones.erase(zone);
+                                     store_position at) {
+        if (evacuations_.change(changes, at)) {
+            forwarder_.set_evacuations(evacuations_.zones());
+            push_to_zone(host_snapshot{
+                {}, {}, evacuation_snapshot{evacuations_.listed(), evacuations_.position()}, {}});
         }
-        apply(next);
-        push_to_zone(host_snapshot{{}, {}, next, {}});
     };
+    out.era_began = [this](store_era era) { enter_era(era, "store"); };
     out.hosts_listed = [this](std::vector<host_record> const& hosts) {
         hosts_listed_ = true;
         for (host_record const& host : hosts) {
@@ -254,6 +253,7 @@
     config_follower_.start(list_now);
     target_follower_.start(list_now, read_freshness::may_be_stale);
     evacuation_follower_.start(list_now);
+    registered_ = !settings_.first_start;
     register_self(0);
     report_peers(read_clocks().mono);
     timers_.every(host_view::tick_interval, [this] { tick(); });
@@ -285,12 +285,46 @@
     evacuation_follower_.set_active(follows_store_);
 }
 
+/**
+ * Takes note that the store names a later era. If it is not the first one that this host hears of,
+ * the store has come back from an older copy: what follows it lists again, and this host's address
+ * is written again.
+ * @param source for the log.
+ */
+void entry_host::enter_era(store_era era, std::string const& source)
+{
+    if (era <= era_) {
+        return;
+    }
+    bool const went_back = era_ != store_era{};
+    era_ = era;
+    if (!went_back) {
+        return;
+    }
+    ++store_returns_;
+    mono_time const now = read_clocks().mono;
+    log_.event("store_went_back", {{"era", std::to_string(era.value)}, {"source", source}}, now);
+    // Not at once, as the answer that named the era is still being processed.
+    timers_.once(now, [this] {
+        for (follower* const each : {&config_follower_, &target_follower_, &evacuation_follower_}) {
+            each->enter_era(era_);
+        }
+    });
+    auto const hosts = std::max<std::size_t>(1, directory_hosts_.size());
+    auto const spread = registration_interval * static_cast<int>(hosts);
+    auto const delay = random_below(random_, static_cast<std::uint64_t>(spread.count()));
+    timers_.once(now + milliseconds(delay), [this] { register_self(0); });
+}
+
 void entry_host::register_self(int failures)
 {
     host_record const self{node_id(settings_.name), zone_id(settings_.zone), settings_.ip};
-    store_.register_host(self, !settings_.first_start, [this, failures](bool done) {
+    store_.register_host(self, registered_, [this, failures](bool done) {
         if (done) {
-            timers_.once(started_ + host_list_delay, [this] { list_hosts(0); });
+            registered_ = true;
+            if (!hosts_listed_) {
+                timers_.once(started_ + host_list_delay, [this] { list_hosts(0); });
+            }
             return;
         }
         retry_store_call("register_failed", failures + 1,
@@ -474,8 +508,8 @@
 
 known_versions entry_host::versions() const
 {
-    return {config_ ? config_->version : generation{}, targets_.current_revision(),
-            evacuations_at_};
+    return {config_ ? config_->version : generation{}, targets_.position(),
+            evacuations_.position()};
 }
 
 bool entry_host::store_lost() const
@@ -587,10 +621,13 @@
         out += "# TYPE cove_" + name + " gauge\ncove_" + name + " " + std::to_string(value) + "\n";
     };
     gauge("config_version", known.config.value);
-    gauge("targets_revision", known.targets.value);
-    gauge("evacuations_revision", known.evacuations.value);
+    gauge("targets_revision", known.targets.at.value);
+    gauge("evacuations_revision", known.evacuations.at.value);
+    gauge("store_era", era_.value);
+    out += "# TYPE cove_store_returns counter\ncove_store_returns " +
+           std::to_string(store_returns_) + "\n";
     gauge("targets", targets_.entries().size());
-    gauge("evacuated_zones", evacuated_.size());
+    gauge("evacuated_zones", evacuations_.zones().size());
     gauge("open_requests", forwarder_.open_requests());
     gauge("queued_requests", forwarder_.queued_requests());
     out += "# TYPE cove_ranked_requests counter\ncove_ranked_requests " +
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -13,6 +13,7 @@
 #include "peer/byte_budget.h"
 #include "peer/host_view.h"
 #include "peer/loop_transport.h"
+#include "traffic/evacuation_list.h"
 #include "traffic/target_list.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -55,6 +56,7 @@
     store_hooks hooks();
     store_calls observe_reachability(store_calls calls);
     void update_store_following(mono_time now);
+    void enter_era(store_era era, std::string const& source);
     void register_self(int failures);
     void list_hosts(int failures);
     void retry_store_call(std::string const& failed, int failures, std::function<void()> call);
@@ -81,6 +83,7 @@
     void relay_config(packed_config const& config, std::vector<std::string> const& receivers);
     void apply(target_snapshot const& list, std::string const& source);
     void apply(evacuation_snapshot const& list);
+    void expire_held_entries(mono_time now);
     void push_to_zone(host_message const& message);
     void transmit(std::vector<std::string> const& ips, host_message const& message);
     void forward_changes(targets_changed const& changes);
@@ -125,8 +128,10 @@
     follower evacuation_follower_;
     boost::asio::signal_set signals_;
     target_list targets_;
-    std::set<zone_id> evacuated_;
-    revision evacuations_at_;
+    evacuation_list evacuations_;
+    store_era era_;                       ///< latest one named by the store or by a peer
+    std::uint64_t store_returns_ = 0;     ///< from older copies, since this host started
+    bool registered_ = false;             ///< the store has, or had, the address of this host
     std::optional<packed_config> config_; ///< the active configuration
     bool config_push_pending_ = false;
     byte_budget bulk_answers_;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -40,6 +40,12 @@
            (answer.targets ? answer.targets->entries.size() * target_entry_bytes : 0);
 }
 
+/** @return era and revision, for the log. */
+std::string to_text(store_position position)
+{
+    return std::to_string(position.era.value) + "." + std::to_string(position.at.value);
+}
+
 char const* kind_of(host_message const& message)
 {
     constexpr std::array<char const*, std::variant_size_v<host_message>> kinds{
@@ -72,7 +78,7 @@
 void entry_host::tick()
 {
     mono_time const now = read_clocks().mono;
-    forward_changes({{}, targets_.expire(now)});
+    expire_held_entries(now);
     monitor_.measure("send_reports", [&] { send(view_.tick(state(), now)); });
     report_peers(now);
     update_store_following(now);
@@ -184,12 +190,13 @@
 
 void entry_host::on_message(std::string const& bytes)
 {
-    auto const message = decode_host_message(bytes, "entry host");
+    auto const message = decode_host_message(bytes, "entry host", era_);
     if (!message) {
         log_.event("malformed_message", {{"reason", to_string(message.error())}},
                    read_clocks().mono);
         return;
     }
+    enter_era(latest_era(*message), "peer");
     monitor_.measure(kind_of(*message),
                      [&] { std::visit([this](auto const& body) { on(body); }, *message); });
 }
@@ -260,10 +267,11 @@
         answer.config = config_;
     }
     if (message.targets && targets_known_) {
-        answer.targets = target_snapshot{targets_.entries(), targets_.current_revision()};
+        answer.targets = target_snapshot{targets_.listed_entries(), targets_.position(),
+                                         targets_.held(read_clocks().mono)};
     }
     if (message.evacuations) {
-        answer.evacuations = evacuation_snapshot{evacuated_, evacuations_at_};
+        answer.evacuations = evacuation_snapshot{evacuations_.listed(), evacuations_.position()};
     }
     // The peer pulls again, perhaps from another host, if it gets no answer.
     if (!bulk_answers_.take(size_of(answer), read_clocks().mono)) {
@@ -339,27 +347,39 @@
 void entry_host::apply(target_snapshot const& list, std::string const& source)
 {
     mono_time const now = read_clocks().mono;
-    targets_known_ = true;
-    log_.event(list.at < targets_.current_revision() ? "old_target_list" : "target_list",
+    bool const old = list.at < targets_.position() || list.at.era < era_;
+    log_.event(old ? "old_target_list" : "target_list",
                {{"targets", std::to_string(list.entries.size())},
-                {"revision", std::to_string(list.at.value)},
-                {"known_revision", std::to_string(targets_.current_revision().value)},
+                {"position", to_text(list.at)},
+                {"known_position", to_text(targets_.position())},
                 {"source", source}},
                now);
-    if (targets_.replace(list.entries, list.at, now)) {
+    if (old) {
+        return;
+    }
+    targets_known_ = true;
+    bool const changed = targets_.replace(list.entries, list.at, now);
+    for (held_target const& each : list.held) {
+        targets_.hold(each, now);
+    }
+    if (changed) {
         forwarder_.set_targets(targets_.entries());
     }
 }
 
 void entry_host::apply(evacuation_snapshot const& list)
 {
-    if (list.at < evacuations_at_) {
-        return;
+    if (list.at.era >= era_ && evacuations_.replace(list.zones, list.at, read_clocks().mono)) {
+        forwarder_.set_evacuations(evacuations_.zones());
     }
-    evacuations_at_ = list.at;
-    if (list.zones != evacuated_) {
-        evacuated_ = list.zones;
-        forwarder_.set_evacuations(evacuated_);
+}
+
+/** Ends the periods for which entries were kept although the store does not list them. */
+void entry_host::expire_held_entries(mono_time now)
+{
+    forward_changes(targets_.expire(now));
+    if (evacuations_.expire(now)) {
+        forwarder_.set_evacuations(evacuations_.zones());
     }
 }
 
@@ -370,8 +390,9 @@
  */
 bool entry_host::apply(target_changes const& message, std::string const& source)
 {
-    bool const contiguous = targets_known_ && message.from <= targets_.current_revision();
-    if (!contiguous || message.to <= targets_.current_revision()) {
+    store_position const known = targets_.position();
+    bool const contiguous = targets_known_ && message.to.era == known.era && message.from <= known;
+    if (!contiguous || message.to <= known) {
         return false; // after a gap, the host pulls the whole list
     }
     mono_time const now = read_clocks().mono;
@@ -381,7 +402,7 @@
             log_.event("target_left",
                        {{"target", change.id.value},
                         {"entry", change.entry ? "leaving" : "removed"},
-                        {"revision", std::to_string(message.to.value)},
+                        {"position", to_text(message.to)},
                         {"source", source}},
                        now);
         }
--- a/src/host/store_calls.h
+++ b/src/host/store_calls.h
@@ -36,8 +36,10 @@
     std::function<void(target_snapshot)> targets_listed;
     std::function<void(target_changes)> targets_changed;
     std::function<void(evacuation_snapshot)> evacuations_listed;
-    std::function<void(std::vector<std::pair<zone_id, bool>>, revision)>
+    std::function<void(std::vector<std::pair<zone_id, bool>>, store_position)>
         evacuations_changed; ///< true: evacuation started; false: ended
+    /// An answer of any kind has named an era that is later than all before.
+    std::function<void(store_era)> era_began = [](store_era) {};
     std::function<void(std::vector<host_record>)> hosts_listed;
     std::function<void(std::string const& place, std::string const& reason)> malformed;
     /// The time that it took to read and apply an answer.
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -3,6 +3,7 @@
 #include "host_gossip.pb.h"
 
 #include <algorithm>
+#include <map>
 
 namespace cove {
 
@@ -12,15 +13,18 @@
 void write_versions(Message& out, known_versions const& versions)
 {
     out.set_config_version(versions.config.value);
-    out.set_targets_revision(versions.targets.value);
-    out.set_evacuations_revision(versions.evacuations.value);
+    out.set_targets_era(versions.targets.era.value);
+    out.set_targets_revision(versions.targets.at.value);
+    out.set_evacuations_era(versions.evacuations.era.value);
+    out.set_evacuations_revision(versions.evacuations.at.value);
 }
 
 template <class Message>
 known_versions read_versions(Message const& in)
 {
-    return {generation(in.config_version()), revision(in.targets_revision()),
-            revision(in.evacuations_revision())};
+    return {generation(in.config_version()),
+            {store_era(in.targets_era()), revision(in.targets_revision())},
+            {store_era(in.evacuations_era()), revision(in.evacuations_revision())}};
 }
 
 template <class Message>
@@ -212,14 +216,24 @@
     }
     body->set_has_targets(message.targets.has_value());
     if (message.targets) {
-        body->set_targets_revision(message.targets->at.value);
+        body->set_targets_era(message.targets->at.era.value);
+        body->set_targets_revision(message.targets->at.at.value);
+        std::map<target_id, milliseconds> held;
+        for (held_target const& each : message.targets->held) {
+            held[each.id] = each.left;
+        }
         for (target_entry const& entry : message.targets->entries) {
-            write(*body->add_targets(), entry);
+            auto* const item = body->add_targets();
+            write(*item, entry);
+            if (auto const found = held.find(entry.id); found != held.end()) {
+                item->set_held_ms(static_cast<std::uint32_t>(found->second.count()));
+            }
         }
     }
     body->set_has_evacuations(message.evacuations.has_value());
     if (message.evacuations) {
-        body->set_evacuations_revision(message.evacuations->at.value);
+        body->set_evacuations_era(message.evacuations->at.era.value);
+        body->set_evacuations_revision(message.evacuations->at.at.value);
         for (zone_id const& zone : message.evacuations->zones) {
             body->add_evacuations(zone.value);
         }
@@ -229,8 +243,9 @@
 void write(wire::HostEnvelope& out, target_changes const& message)
 {
     auto* const body = out.mutable_target_changes();
-    body->set_from_revision(message.from.value);
-    body->set_to_revision(message.to.value);
+    body->set_era(message.to.era.value);
+    body->set_from_revision(message.from.at.value);
+    body->set_to_revision(message.to.at.value);
     for (target_change const& change : message.changes) {
         auto* const item = body->add_changes();
         item->set_id(change.id.value);
@@ -275,7 +290,9 @@
 
 target_changes read(wire::TargetChanges const& in)
 {
-    target_changes message{revision(in.from_revision()), revision(in.to_revision()), {}};
+    store_era const era(in.era());
+    target_changes message{
+        {era, revision(in.from_revision())}, {era, revision(in.to_revision())}, {}};
     for (wire::ListedTargetChange const& item : in.changes()) {
         target_change change{target_id(item.id()), std::nullopt};
         if (item.has_entry()) {
@@ -309,14 +326,18 @@
     }
     message.relay_to = {in.relay_to().begin(), in.relay_to().end()};
     if (in.has_targets()) {
-        target_snapshot targets{{}, revision(in.targets_revision())};
+        target_snapshot targets{{}, {store_era(in.targets_era()), revision(in.targets_revision())}};
         for (wire::ListedTarget const& record : in.targets()) {
             targets.entries.push_back(read(record));
+            if (record.has_held_ms()) {
+                targets.held.push_back({target_id(record.id()), milliseconds(record.held_ms())});
+            }
         }
         message.targets = std::move(targets);
     }
     if (in.has_evacuations()) {
-        evacuation_snapshot evacuations{{}, revision(in.evacuations_revision())};
+        evacuation_snapshot evacuations{
+            {}, {store_era(in.evacuations_era()), revision(in.evacuations_revision())}};
         for (std::string const& zone : in.evacuations()) {
             evacuations.zones.emplace(zone);
         }
@@ -325,22 +346,38 @@
     return message;
 }
 
-} // namespace
-
-std::string encode_host_message(host_message const& message)
+/** Calls @p visit for each position of the store in @p message. */
+template <class Message, class Visitor>
+void for_each_position(Message& message, Visitor const& visit)
 {
-    wire::HostEnvelope envelope;
-    std::visit([&envelope](auto const& body) { write(envelope, body); }, message);
-    return envelope.SerializeAsString();
+    auto const visit_versions = [&visit](auto& versions) {
+        visit(versions.targets);
+        visit(versions.evacuations);
+    };
+    if (auto* const reports = std::get_if<gossip>(&message)) {
+        for (auto& report : reports->reports) {
+            visit_versions(report.versions);
+        }
+        for (auto& zone : reports->zones) {
+            visit_versions(zone.versions);
+        }
+    }
+    else if (auto* const snapshot = std::get_if<host_snapshot>(&message)) {
+        if (snapshot->targets) {
+            visit(snapshot->targets->at);
+        }
+        if (snapshot->evacuations) {
+            visit(snapshot->evacuations->at);
+        }
+    }
+    else if (auto* const changes = std::get_if<target_changes>(&message)) {
+        visit(changes->from);
+        visit(changes->to);
+    }
 }
 
-result<host_message> decode_host_message(std::string const& bytes, std::string const& peer)
+result<host_message> read(wire::HostEnvelope const& envelope, std::string const& peer)
 {
-    wire::HostEnvelope envelope;
-    if (!envelope.ParseFromString(bytes)) {
-        return fail("peer.decode", peer,
-                    "malformed entry host message of " + std::to_string(bytes.size()) + " bytes");
-    }
     switch (envelope.body_case()) {
     case wire::HostEnvelope::kGossip:
         return host_message(read(envelope.gossip()));
@@ -358,4 +395,39 @@
     }
 }
 
+} // namespace
+
+std::string encode_host_message(host_message const& message)
+{
+    wire::HostEnvelope envelope;
+    std::visit([&envelope](auto const& body) { write(envelope, body); }, message);
+    return envelope.SerializeAsString();
+}
+
+result<host_message> decode_host_message(std::string const& bytes, std::string const& peer,
+                                         store_era era)
+{
+    wire::HostEnvelope envelope;
+    if (!envelope.ParseFromString(bytes)) {
+        return fail("peer.decode", peer,
+                    "malformed entry host message of " + std::to_string(bytes.size()) + " bytes");
+    }
+    auto message = read(envelope, peer);
+    if (message) {
+        for_each_position(*message, [era](store_position& position) {
+            position.era = position.era == store_era{} ? era : position.era;
+        });
+    }
+    return message;
+}
+
+store_era latest_era(host_message const& message)
+{
+    store_era latest;
+    for_each_position(message, [&latest](store_position const& position) {
+        latest = std::max(latest, position.era);
+    });
+    return latest;
+}
+
 } // namespace cove
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -5,6 +5,7 @@
 #include "core/ids_type.h"
 #include "follow/known_versions_type.h"
 #include "traffic/crash_type.h"
+#include "traffic/target_type.h"
 
 #include <optional>
 #include <set>
@@ -88,16 +89,17 @@
     bool evacuations = false;
 };
 
-/** The complete list of targets at a revision. */
+/** The complete list of targets at a position of the store. */
 struct target_snapshot {
     std::vector<target_entry> entries;
-    revision at;
+    store_position at;
+    std::vector<held_target> held = {}; ///< of the entries, those that the store does not list
 };
 
-/** The evacuated zones at a revision. */
+/** The evacuated zones at a position of the store. */
 struct evacuation_snapshot {
     std::set<zone_id> zones;
-    revision at;
+    store_position at;
 };
 
 /** A configuration, compressed because it is sent to every host. */
@@ -120,10 +122,10 @@
     std::optional<target_entry> entry; ///< absent if it was removed or is not a valid target
 };
 
-/** Ordered changes of the list of targets, for hosts whose list is at revision `from` or later. */
+/** Ordered changes of the list of targets, for hosts whose list is at `from` or later. */
 struct target_changes {
-    revision from;
-    revision to;
+    store_position from;
+    store_position to; ///< of the same era
     std::vector<target_change> changes;
 };
 
@@ -139,7 +141,15 @@
 /** @return the serialized @p message. */
 std::string encode_host_message(host_message const& message);
 
-/** @return the message in @p bytes, or an error. @param peer sender, for the error. */
-result<host_message> decode_host_message(std::string const& bytes, std::string const& peer);
+/**
+ * @param peer sender, for the error.
+ * @param era of the store, for positions that name none because the sender knows no eras.
+ * @return the message in @p bytes, or an error.
+ */
+result<host_message> decode_host_message(std::string const& bytes, std::string const& peer,
+                                         store_era era = {});
+
+/** @return the latest era of the store that @p message names. */
+store_era latest_era(host_message const& message);
 
 } // namespace cove
--- a/src/traffic/target_type.h
+++ b/src/traffic/target_type.h
@@ -2,6 +2,7 @@
 /** @file Targets as listed by the platform and as described by their answers. */
 
 #include "core/ids_type.h"
+#include "core/store_position_type.h"
 #include "core/time_type.h"
 
 #include <optional>
@@ -10,7 +11,6 @@
 
 namespace cove {
 
-using revision = strong_number<struct revision_tag>;   ///< revision of the platform's store
 using object_key = strong_name<struct object_key_tag>; ///< affinity key of a request; may be empty
 /// Incarnation of a target: changes with each start.
 using target_incarnation = strong_type<struct target_incarnation_tag, std::int64_t>;
@@ -31,6 +31,12 @@
     bool operator==(target_entry const&) const = default;
 };
 
+/** An entry that is out of the store's list, but kept for a while. */
+struct held_target {
+    target_id id;
+    milliseconds left{}; ///< time until it is removed
+};
+
 /**
  * Load of the targets of one service in a zone, as seen by one host of the zone. The targets of an
  * evacuated zone are not counted.
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -1,5 +1,6 @@
 #include "follow/follower.h"
 #include "follow/lag_detector.h"
+#include "support/position.h"
 #include "support/scripted_server.h"
 
 #include <gtest/gtest.h>
@@ -20,7 +21,7 @@
             list_freshness = freshness;
             answer = std::move(done);
         };
-        out.watch = [this](revision from, milliseconds wait, follow_calls::done done) {
+        out.watch = [this](store_position from, milliseconds wait, follow_calls::done done) {
             ++watches;
             watch_start = from;
             watch_wait = wait;
@@ -34,11 +35,21 @@
         return out;
     }
 
-    void reply(follow_status status, std::uint64_t at = 0)
+    void reply(follow_status status, std::uint64_t at = 0, std::uint64_t era = 1)
     {
         auto const done = std::move(answer);
         answer = nullptr;
-        done({status, revision(at), "detail"});
+        done({status, position(at, era), "detail"});
+    }
+
+    /** Lets the follower wait for changes after revision 40 of the first era. */
+    void watch_from_40()
+    {
+        subject.set_active(true);
+        subject.start(true);
+        reply(follow_status::done, 40);
+        ASSERT_TRUE(calls_again());
+        ASSERT_EQ(watches, 1);
     }
 
     bool calls_again()
@@ -55,7 +66,7 @@
     int aborts = 0;
     int lost = 0;
     int regained = 0;
-    revision watch_start;
+    store_position watch_start;
     milliseconds watch_wait{};
     read_freshness list_freshness = read_freshness::current;
     follower subject;
@@ -79,10 +90,10 @@
     subject.start(true);
     reply(follow_status::done, 40);
     ASSERT_TRUE(calls_again());
-    EXPECT_EQ(watch_start, revision(40));
+    EXPECT_EQ(watch_start, position(40));
     reply(follow_status::done, 44);
     ASSERT_TRUE(calls_again());
-    EXPECT_EQ(watch_start, revision(44));
+    EXPECT_EQ(watch_start, position(44));
     EXPECT_EQ(lists, 1);
 }
 
@@ -105,7 +116,59 @@
     reply(follow_status::history_expired); // it came back from an older copy
     reply(follow_status::done, 30);
     ASSERT_TRUE(calls_again());
-    EXPECT_EQ(watch_start, revision(30));
+    EXPECT_EQ(watch_start, position(30));
+}
+
+// What was written below the revision of the copy is missing in the changes of a later era.
+TEST_F(follower_case, lists_again_when_a_watch_is_answered_in_a_later_era)
+{
+    watch_from_40();
+    reply(follow_status::done, 45, 2);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(lists, 2);
+    EXPECT_EQ(list_freshness, read_freshness::current);
+    reply(follow_status::done, 46, 2);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_start, position(46, 2));
+}
+
+TEST_F(follower_case, lists_again_after_a_refusal_that_names_a_later_era)
+{
+    watch_from_40();
+    reply(follow_status::failed, 0, 2);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(lists, 2);
+}
+
+TEST_F(follower_case, lists_at_once_when_it_is_told_of_a_later_era)
+{
+    watch_from_40();
+    subject.enter_era(store_era(2));
+    EXPECT_EQ(aborts, 1);
+    EXPECT_EQ(lists, 2);
+    subject.enter_era(store_era(2)); // the list is under way
+    EXPECT_EQ(lists, 2);
+}
+
+TEST_F(follower_case, lists_in_the_later_era_once_it_is_active)
+{
+    subject.start(true);
+    reply(follow_status::done, 40);
+    subject.enter_era(store_era(2));
+    EXPECT_EQ(lists, 1);
+    subject.set_active(true);
+    EXPECT_EQ(lists, 2);
+}
+
+TEST_F(follower_case, does_not_take_a_list_of_an_earlier_era)
+{
+    subject.set_active(true);
+    subject.start(true);
+    subject.enter_era(store_era(2));
+    reply(follow_status::done, 40, 1);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(lists, 2);
+    EXPECT_EQ(watches, 0);
 }
 
 TEST_F(follower_case, reports_loss_and_return_of_the_store_once)
@@ -191,8 +254,8 @@
 TEST(lag_detector, pulls_a_change_that_stays_missing)
 {
     lag_detector lag;
-    known_versions const own{generation(1), revision(10), revision(5)};
-    known_versions const peer{generation(1), revision(12), revision(5)};
+    known_versions const own{generation(1), position(10), position(5)};
+    known_versions const peer{generation(1), position(12), position(5)};
     mono_time now{seconds{100}};
     EXPECT_FALSE(lag.should_pull(own, peer, pull_delay, now)); // a push may still arrive
     EXPECT_TRUE(lag.should_pull(own, peer, pull_delay, now + pull_delay));
@@ -206,8 +269,8 @@
     lag_detector lag;
     mono_time now{seconds{100}};
     for (std::uint64_t change = 1; change < 100; ++change) {
-        known_versions const own{generation(1), revision(change), revision(1)};
-        known_versions const peer{generation(1), revision(change + 1), revision(1)};
+        known_versions const own{generation(1), position(change), position(1)};
+        known_versions const peer{generation(1), position(change + 1), position(1)};
         EXPECT_FALSE(lag.should_pull(own, peer, pull_delay, now)) << change;
         now += tick;
     }
@@ -216,7 +279,7 @@
 TEST(lag_detector, pulls_at_once_without_a_delay)
 {
     lag_detector lag;
-    known_versions const peer{generation(3), revision(0), revision(0)};
+    known_versions const peer{generation(3), position(0), position(0)};
     EXPECT_TRUE(lag.should_pull({}, peer, milliseconds{0}, mono_time{seconds{100}}));
 }
 
--- a/tests/host/crashing_request_test.cpp
+++ b/tests/host/crashing_request_test.cpp
@@ -39,7 +39,7 @@
         for (store_hooks& store : stores) {
             store.hosts_listed({});
             store.config(document);
-            store.targets_listed({entries, revision(1)});
+            store.targets_listed({entries, position(1)});
         }
         ASSERT_TRUE(run_until(
             loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
--- a/tests/host/cut_off_host_test.cpp
+++ b/tests/host/cut_off_host_test.cpp
@@ -41,7 +41,7 @@
         for (std::size_t i = 0; i < stores.size(); ++i) {
             stores[i].hosts_listed({});
             stores[i].config(document);
-            stores[i].targets_listed({i == 0 ? linked : direct, revision(1)});
+            stores[i].targets_listed({i == 0 ? linked : direct, position(1)});
         }
         ASSERT_TRUE(run_until(
             loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
--- a/tests/host/departed_client_test.cpp
+++ b/tests/host/departed_client_test.cpp
@@ -118,7 +118,7 @@
     configure(1, "/a/", false);
     target_entry entry = desk_targets({&target})[0];
     entry.address = loopback(listener.local_endpoint().port());
-    store.targets_listed({{entry}, revision(1)});
+    store.targets_listed({{entry}, position(1)});
     raw_client client(loop, client_address);
     client.send(raw_request("/a/1"));
     pollfd waiting{listener.native_handle(), POLLIN, 0};
@@ -173,7 +173,7 @@
     for (std::size_t i = 0; i < stores.size(); ++i) {
         stores[i].hosts_listed({});
         stores[i].config(desk_config(1, "/a/", true));
-        stores[i].targets_listed({i == 0 ? linked : direct, revision(1)});
+        stores[i].targets_listed({i == 0 ? linked : direct, position(1)});
     }
     ASSERT_TRUE(run_until(
         loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
--- a/tests/host/endless_answer_test.cpp
+++ b/tests/host/endless_answer_test.cpp
@@ -28,7 +28,7 @@
     entry.zone = zone_id("east");
     entry.slots = 8;
     configure(1, "/a/");
-    store.targets_listed({{entry}, revision(1)});
+    store.targets_listed({{entry}, position(1)});
     unsigned const got = status("/a/1");
     EXPECT_TRUE(got == 502 || got == 504) << got; // it may have run
     EXPECT_TRUE(run_until(loop, [&] { return target.closed == 1; }));
--- a/tests/host/entry_host_test.cpp
+++ b/tests/host/entry_host_test.cpp
@@ -193,7 +193,7 @@
     configure(1, "/a/");
     list({&target}, 1);
     EXPECT_EQ(status("/a/1"), 200U);
-    store.targets_changed({revision(1), revision(2), {{target_id("t0"), std::nullopt}}});
+    store.targets_changed({position(1), position(2), {{target_id("t0"), std::nullopt}}});
     EXPECT_EQ(status("/a/2"), 503U);
     EXPECT_EQ(target.request_heads.size(), 1U);
 }
@@ -206,8 +206,8 @@
     });
     configure(1, "/a/");
     list({&target}, 1);
-    store.targets_changed({revision(1), revision(9), {}});
-    store.targets_changed({revision(9), revision(10), {{target_id("t0"), std::nullopt}}});
+    store.targets_changed({position(1), position(9), {}});
+    store.targets_changed({position(9), position(10), {{target_id("t0"), std::nullopt}}});
     EXPECT_EQ(status("/a/1"), 503U);
 }
 
--- a/tests/host/planned_stop_test.cpp
+++ b/tests/host/planned_stop_test.cpp
@@ -34,7 +34,7 @@
         entry.address = target.address();
         entry.zone = zone_id("east");
         entry.slots = 4;
-        store.targets_listed({{entry}, revision(1)});
+        store.targets_listed({{entry}, position(1)});
     }
 
     /** Serves requests, so that the host knows how long the target takes. */
@@ -244,7 +244,7 @@
     for (std::size_t i = 0; i < stores.size(); ++i) {
         stores[i].hosts_listed({});
         stores[i].config(document);
-        stores[i].targets_listed({i == 0 ? linked : direct, revision(1)});
+        stores[i].targets_listed({i == 0 ? linked : direct, position(1)});
     }
     ASSERT_TRUE(run_until(
         loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
--- a/tests/peer/peer_view_test.cpp
+++ b/tests/peer/peer_view_test.cpp
@@ -1,4 +1,5 @@
 #include "peer/host_fleet.h"
+#include "support/position.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -193,8 +194,8 @@
     full.leaving = true;
     full.store_lost = true;
     full.versions.config = generation(7);
-    full.versions.targets = revision(8);
-    full.versions.evacuations = revision(9);
+    full.versions.targets = position(8);
+    full.versions.evacuations = position(9);
     full.loads = {{service_id("desk"), 4, 6, 2.5, 3}};
     target_entry entry;
     entry.id = target_id("t");
@@ -212,7 +213,7 @@
     status.zone = zone_id("b");
     status.speaker = node_id("b1");
     status.sequence = 12;
-    status.versions.targets = revision(10);
+    status.versions.targets = position(10);
     status.loads = full.loads;
     status.roster = {{node_id("b1"), zone_id("b"), "10.0.0.3", "10.0.0.3:80", host_incarnation(3)}};
     gossip const sent{node_id("a1"), "ip-a1", {full}, {status}, true};
@@ -232,14 +233,14 @@
     EXPECT_EQ(back.new_objects[0].objects, (std::vector<std::uint32_t>{5, 4'000'000'000}));
     auto const& zone = std::get<gossip>(*received).zones.at(0);
     EXPECT_EQ(zone.sequence, 12U);
-    EXPECT_EQ(zone.versions.targets, revision(10));
+    EXPECT_EQ(zone.versions.targets, position(10));
     EXPECT_EQ(zone.loads.at(0).listed, 6);
     EXPECT_EQ(zone.roster, status.roster);
     EXPECT_EQ(std::get<gossip>(*received).sender_ip, "ip-a1");
 
     auto const changes = decode_host_message(
         encode_host_message(target_changes{
-            revision(1), revision(2), {{target_id("t"), entry}, {target_id("u"), std::nullopt}}}),
+            position(1), position(2), {{target_id("t"), entry}, {target_id("u"), std::nullopt}}}),
         "peer");
     ASSERT_TRUE(changes);
     auto const& list = std::get<target_changes>(*changes);
@@ -248,8 +249,8 @@
 
     auto const snapshot_result = decode_host_message(
         encode_host_message(host_snapshot{packed_config{generation(7), "packed"},
-                                          target_snapshot{{entry}, revision(3)},
-                                          evacuation_snapshot{{zone_id("a")}, revision(4)},
+                                          target_snapshot{{entry}, position(3)},
+                                          evacuation_snapshot{{zone_id("a")}, position(4)},
                                           {"10.0.0.9"}}),
         "peer");
     ASSERT_TRUE(snapshot_result);
@@ -261,6 +262,57 @@
     EXPECT_TRUE(received_snapshot.evacuations->zones.contains(zone_id("a")));
 }
 
+TEST(host_message, carries_the_era_of_each_position)
+{
+    host_report sent = report("a1", "a");
+    sent.versions.targets = position(8, 3);
+    sent.versions.evacuations = position(9, 4);
+    zone_status status;
+    status.versions = sent.versions;
+    auto const back = decode_host_message(
+        encode_host_message(gossip{node_id("a1"), "ip", {sent}, {status}}), "t");
+    ASSERT_TRUE(back);
+    EXPECT_EQ(latest_era(*back), store_era(4));
+    auto const& got = std::get<gossip>(*back);
+    EXPECT_EQ(got.reports.at(0).versions.targets, position(8, 3));
+    EXPECT_EQ(got.zones.at(0).versions.evacuations, position(9, 4));
+
+    auto const changes = decode_host_message(
+        encode_host_message(target_changes{position(1, 5), position(2, 5), {}}), "t");
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(std::get<target_changes>(*changes).from, position(1, 5));
+    EXPECT_EQ(latest_era(*changes), store_era(5));
+
+    target_entry kept;
+    kept.id = target_id("t");
+    auto const list = decode_host_message(
+        encode_host_message(
+            host_snapshot{{},
+                          target_snapshot{{kept}, position(3, 6), {{kept.id, milliseconds{700}}}},
+                          evacuation_snapshot{{}, position(4, 7)},
+                          {}}),
+        "t");
+    ASSERT_TRUE(list);
+    auto const& snapshot = std::get<host_snapshot>(*list);
+    EXPECT_EQ(snapshot.targets->at, position(3, 6));
+    EXPECT_EQ(snapshot.evacuations->at, position(4, 7));
+    ASSERT_EQ(snapshot.targets->held.size(), 1U);
+    EXPECT_EQ(snapshot.targets->held[0].id, kept.id);
+    EXPECT_EQ(snapshot.targets->held[0].left, milliseconds{700});
+}
+
+// Hosts of a build that knows no eras name none; their data is of the era that this host is in.
+TEST(host_message, without_an_era_is_of_the_era_of_the_receiver)
+{
+    host_report sent = report("a1", "a");
+    sent.versions.targets = position(8, 0);
+    auto const back = decode_host_message(
+        encode_host_message(gossip{node_id("a1"), "ip", {sent}, {}}), "t", store_era(3));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(std::get<gossip>(*back).reports.at(0).versions.targets, position(8, 3));
+    EXPECT_EQ(latest_era(*back), store_era(3));
+}
+
 RC_GTEST_PROP(host_message, decodes_any_bytes_or_fails, (std::string const& bytes))
 {
     auto const message = decode_host_message(bytes, "peer 10.0.0.9");
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -1,6 +1,7 @@
 /** @file Entries that other writers leave among those of the targets. */
 
 #include "platform/store_client.h"
+#include "support/position.h"
 #include "support/scripted_server.h"
 
 #include <gtest/gtest.h>
@@ -78,14 +79,14 @@
     calls.list(read_freshness::current, [&](follow_result const& got) { ended = got; });
     ASSERT_TRUE(run_until(loop, [&] { return ended.has_value(); }));
     ASSERT_EQ(ended->status, follow_status::done) << ended->detail;
-    EXPECT_EQ(ended->at, revision(5));
+    EXPECT_EQ(ended->at, position(5, 0));
     ASSERT_EQ(listed->entries.size(), 2U);
     EXPECT_EQ(listed->entries[0].id, target_id("i-1"));
     EXPECT_EQ(listed->entries[1].id, target_id("i-3"));
     EXPECT_EQ(malformed, 1);
 
     ended.reset();
-    calls.watch(revision(5), milliseconds{0}, [&](follow_result const& got) { ended = got; });
+    calls.watch(position(5, 0), milliseconds{0}, [&](follow_result const& got) { ended = got; });
     ASSERT_TRUE(run_until(loop, [&] { return ended.has_value(); }));
     ASSERT_EQ(ended->status, follow_status::done) << ended->detail;
     ASSERT_EQ(changed->changes.size(), 3U); // the odd entry is one that names no target any more
--- /dev/null
+++ b/tests/platform/paged_list_test.cpp
@@ -0,0 +1,43 @@
+#include "platform/store_client.h"
+#include "support/position.h"
+#include "support/scripted_server.h"
+
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+// The pages of a list that were read before and after the store went back do not fit together.
+TEST(store_client, does_not_deliver_a_list_during_which_the_store_went_back)
+{
+    boost::asio::io_context loop;
+    loop_timers timers(loop);
+    int pages = 0;
+    scripted_server store(loop, [&](std::string const&) {
+        ++pages;
+        std::string const body = R"({"items":[{"metadata":{"name":"i-)" + std::to_string(pages) +
+                                 R"("}}],"has_more":)" + (pages == 1 ? "true" : "false") +
+                                 R"(,"store_revision":10})";
+        return scripted_answer{"HTTP/1.1 200 OK\r\nStore-Era: " + std::to_string(pages) +
+                               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                               body};
+    });
+    int listed = 0;
+    store_era latest;
+    store_hooks hooks;
+    hooks.evacuations_listed = [&](evacuation_snapshot const&) { ++listed; };
+    hooks.era_began = [&](store_era era) { latest = era; };
+    store_client client(loop, timers, store.address(), hooks);
+    std::optional<follow_result> ended;
+    client.calls().evacuations.list(read_freshness::current,
+                                    [&](follow_result const& got) { ended = got; });
+    ASSERT_TRUE(run_until(loop, [&] { return ended.has_value(); }));
+    EXPECT_EQ(ended->status, follow_status::failed);
+    EXPECT_EQ(ended->at.era, store_era(2));
+    EXPECT_EQ(latest, store_era(2));
+    EXPECT_EQ(pages, 2);
+    EXPECT_EQ(listed, 0);
+}
+
+} // namespace
+} // namespace cove
--- a/tests/platform/silent_store_test.cpp
+++ b/tests/platform/silent_store_test.cpp
@@ -2,6 +2,7 @@
 
 #include "follow/follower.h"
 #include "platform/store_client.h"
+#include "support/position.h"
 #include "support/scripted_server.h"
 #include "support/silent_link.h"
 
@@ -56,7 +57,7 @@
     {
         mono_time const start = read_clocks().mono;
         EXPECT_TRUE(run_until(
-            loop, [this] { return known == revision(11); }, milliseconds{12'000}));
+            loop, [this] { return known == position(11, 0); }, milliseconds{12'000}));
         return std::chrono::duration_cast<milliseconds>(read_clocks().mono - start);
     }
 
@@ -68,7 +69,7 @@
     bool answers_watches = false;
     milliseconds subject_wait = follower::default_longest_wait;
     int watches = 0;
-    revision known;
+    store_position known;
 };
 
 TEST_F(silent_store, a_watch_on_a_silent_connection_is_replaced_within_contact)
--- a/tests/platform/slow_answer_test.cpp
+++ b/tests/platform/slow_answer_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/store_client.h"
+#include "support/position.h"
 #include "support/scripted_server.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -30,7 +31,7 @@
                                 [&](follow_result const& got) { ended = got; });
     ASSERT_TRUE(run_until(loop, [&] { return ended.has_value(); }));
     EXPECT_EQ(ended->status, follow_status::done) << ended->detail;
-    EXPECT_EQ(ended->at, revision(10));
+    EXPECT_EQ(ended->at, position(10, 0));
 }
 
 } // namespace
--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -3,6 +3,7 @@
 
 #include "host/entry_host.h"
 #include "support/free_port.h"
+#include "support/position.h"
 #include "support/scripted_server.h"
 
 #include <gtest/gtest.h>
@@ -71,7 +72,7 @@
 {
     follow_calls calls;
     calls.list = [](read_freshness, follow_calls::done const&) {};
-    calls.watch = [](revision, milliseconds, follow_calls::done const&) {};
+    calls.watch = [](store_position, milliseconds, follow_calls::done const&) {};
     calls.abort = [] {};
     store_calls port;
     port.config = port.targets = port.evacuations = calls;
@@ -161,7 +162,7 @@
 
     void list(std::vector<scripted_server*> const& servers, std::uint64_t at = 1)
     {
-        store.targets_listed({desk_targets(servers), revision(at)});
+        store.targets_listed({desk_targets(servers), position(at)});
     }
 
     /** Sends one request and waits for its answer. */
--- a/tests/support/zone_case.h
+++ b/tests/support/zone_case.h
@@ -33,6 +33,11 @@
                     stores.push_back(std::move(hooks));
                     store_calls calls = silent_store();
                     calls.read_config = read_config;
+                    calls.register_host = [this](host_record const& host, bool,
+                                                 std::function<void(bool)> const& done) {
+                        registered.push_back(host.name);
+                        done(true);
+                    };
                     return calls;
                 }));
             EXPECT_TRUE(hosts.back()->start());
@@ -101,7 +106,7 @@
     {
         for (std::size_t i = 0; i < hosts.size(); ++i) {
             deliver(i, "1\n");
-            stores[i].targets_listed({{}, revision(1)});
+            stores[i].targets_listed({{}, position(1)});
         }
         ASSERT_TRUE(run_until(
             loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
@@ -110,6 +115,7 @@
     boost::asio::io_context loop;
     loop_timers timers;
     std::vector<store_hooks> stores;
+    std::vector<node_id> registered;  ///< hosts that have written their address, in order
     std::vector<std::string> metrics; ///< address of each host
     std::vector<std::string> clients; ///< address of each host
     std::vector<std::unique_ptr<entry_host>> hosts;
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -1,5 +1,6 @@
 /** @file Selection of targets: slots, cold and leaving targets, evacuated zones, other zones. */
 
+#include "support/position.h"
 #include "traffic/target_list.h"
 #include "traffic/traffic_fixture.h"
 
@@ -468,10 +469,10 @@
 {
     target_list list(milliseconds{1500}, milliseconds{2000});
     mono_time const now{};
-    EXPECT_TRUE(list.replace({listed("a"), listed("b")}, revision(20), now));
-    EXPECT_FALSE(list.replace({listed("a")}, revision(19), now));
+    EXPECT_TRUE(list.replace({listed("a"), listed("b")}, position(20), now));
+    EXPECT_FALSE(list.replace({listed("a")}, position(19), now));
     EXPECT_EQ(list.entries().size(), 2U);
-    EXPECT_TRUE(list.replace({listed("b")}, revision(21), now));
+    EXPECT_TRUE(list.replace({listed("b")}, position(21), now));
     EXPECT_EQ(list.entries().size(), 1U);
 }
 
@@ -479,7 +480,7 @@
 {
     target_list list(milliseconds{1500}, milliseconds{2000});
     mono_time now{seconds{50}};
-    list.replace({listed("a"), listed("b"), listed("c")}, revision(1), now);
+    list.replace({listed("a"), listed("b"), listed("c")}, position(1), now);
     list.remove(target_id("c"), now); // no outage: removed immediately
     EXPECT_EQ(list.entries().size(), 2U);
     list.store_recovered(now);
@@ -487,7 +488,7 @@
     list.remove(target_id("b"), now + milliseconds{100});
     EXPECT_EQ(list.entries().size(), 2U);
     list.put(listed("a")); // the store accepted its report
-    EXPECT_EQ(list.expire(now + milliseconds{1999}).size(), 1U);
+    EXPECT_EQ(list.expire(now + milliseconds{1999}).removed.size(), 1U);
     ASSERT_EQ(list.entries().size(), 1U);
     EXPECT_EQ(list.entries()[0].id, target_id("a"));
 }
