Bound the memory of all answers under way together

What callers saw, at other operators: a faulty target sent bytes without end; the host that had called it ran out of memory and ended, with the requests of all its other clients.

Cause: a bound for each answer, none for the host.

Metrics: answer_bytes, answers_reclaimed.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -48,6 +48,8 @@
 /// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
 /// well.
 constexpr double bulk_answer_bytes_per_second = 400'000;
+/// Part of the memory that answers may take; a growing buffer takes up to twice its bytes.
+constexpr std::uint64_t answer_memory_divisor = 4;
 /// A client gives up a host that has not read its request after a second; this is a warning before.
 constexpr milliseconds reported_delay{200};
 /// `loop_late` lines cover the work since the last note.
@@ -83,6 +85,20 @@
         settings.shift_cap,     settings.crash_retention};
 }
 
+/** @return bytes that the answers under way may take together. */
+std::uint64_t answer_memory(host_settings const& settings)
+{
+    constexpr std::uint64_t bytes_per_mb = 1 << 20;
+    return static_cast<std::uint64_t>(settings.memory_mb) * bytes_per_mb / answer_memory_divisor;
+}
+
+exchange_limits answer_limits(std::shared_ptr<memory_budget> memory)
+{
+    exchange_limits limits;
+    limits.memory = std::move(memory);
+    return limits;
+}
+
 /** @return the processor time that this process has used so far. */
 microseconds process_cpu_time()
 {
@@ -109,7 +125,9 @@
                        std::function<store_calls(store_hooks)> const& connect_store)
     : loop_(loop), timers_(timers), settings_(std::move(settings)), wire_(std::move(wire)),
       reload_settings_(std::move(reload_settings)),
-      forwarder_(loop, timers, wire_.names, make_traffic_settings(settings_), log_, monitor_),
+      answers_(std::make_shared<memory_budget>(answer_memory(settings_))),
+      forwarder_(loop, timers, wire_.names, make_traffic_settings(settings_),
+                 answer_limits(answers_), log_, monitor_),
       clients_(loop, timers,
                {[this](call_id call, http_request request) {
                     forwarder_.on_request(call, std::move(request));
@@ -645,6 +663,11 @@
         out += std::string("cove_store_silence_ms{kind=\"") + kind + "\"} " +
                to_text_ms(now - subject->last_answer()) + "\n";
     }
+    out += "# TYPE cove_unsent_messages counter\ncove_unsent_messages " +
+           std::to_string(transport_.unsent_messages()) + "\n";
+    gauge("answer_bytes", answers_->held());
+    out += "# TYPE cove_answers_reclaimed counter\ncove_answers_reclaimed " +
+           std::to_string(answers_->reclaims()) + "\n";
     gauge("log_lines_left_out", log_.dropped());
     gauge("cut_off_from_targets", forwarder_.cut_off() ? 1 : 0);
     out += "# TYPE cove_relayed_requests counter\ncove_relayed_requests " +
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -22,6 +22,7 @@
 {
     using s = host_settings;
     constexpr int last_port = 65535;
+    constexpr int max_memory_mb = 1 << 20;
     settings_table<s> table;
     table.text("name", &s::name, "name of this host")
         .text("zone", &s::zone, "availability zone of this host")
@@ -57,6 +58,8 @@
         .duration("crash_retention", &s::crash_retention,
                   "time for which a request that ended targets stays blocked; 0s: not blocked")
         .optional()
+        .integer("memory_mb", &s::memory_mb, 1, max_memory_mb, "memory that this host may use, MiB")
+        .optional()
         .flag("first_start", &s::first_start,
               "whether all hosts start together, before any client traffic");
     return table;
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -35,6 +35,7 @@
     double shift_cap = 1;
     /// How long requests that end targets stay blocked; zero: they are not blocked.
     milliseconds crash_retention{600'000};
+    int memory_mb = 128;      ///< MiB that this host may use
     bool first_start = false; ///< all hosts start together, before any client traffic
 };
 
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -127,9 +127,10 @@
 
 request_forwarder::request_forwarder(boost::asio::io_context& loop, loop_timers& timers,
                                      header_names names, traffic_settings settings,
-                                     log_limiter& log, loop_monitor& monitor)
+                                     exchange_limits const& limits, log_limiter& log,
+                                     loop_monitor& monitor)
     : timers_(timers), names_(std::move(names)), log_(log), monitor_(monitor),
-      traffic_(std::move(settings)), pool_(loop, timers), relay_pool_(loop, timers)
+      traffic_(std::move(settings)), pool_(loop, timers, limits), relay_pool_(loop, timers, limits)
 {
     tick_ = timers_.every(tick_interval, [this] {
         if (traffic_.needs_ticks()) {
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -30,8 +30,10 @@
 /** Translates requests and responses into traffic events and executes the resulting effects. */
 class request_forwarder {
 public:
+    /** @param limits of the connections to targets and to other hosts. */
     request_forwarder(boost::asio::io_context& loop, loop_timers& timers, header_names names,
-                      traffic_settings settings, log_limiter& log, loop_monitor& monitor);
+                      traffic_settings settings, exchange_limits const& limits, log_limiter& log,
+                      loop_monitor& monitor);
     ~request_forwarder();
     request_forwarder(request_forwarder const&) = delete;
     request_forwarder& operator=(request_forwarder const&) = delete;
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-target_connection_pool::target_connection_pool(boost::asio::io_context& loop, loop_timers& timers)
-    : loop_(loop), timers_(timers)
+target_connection_pool::target_connection_pool(boost::asio::io_context& loop, loop_timers& timers,
+                                               exchange_limits limits)
+    : loop_(loop), timers_(timers), limits_(std::move(limits))
 {
     sweep_ = timers_.every(sweep_interval, [this] { sweep(); });
 }
@@ -62,7 +63,7 @@
         }
         last->close();
     }
-    return std::make_shared<exchange_connection>(loop_, endpoint_of(address), exchange_limits{});
+    return std::make_shared<exchange_connection>(loop_, endpoint_of(address), limits_);
 }
 
 void target_connection_pool::release(target_id const& target, connection released)
@@ -78,8 +79,7 @@
 void target_connection_pool::probe(target_id const& target, std::string const& address,
                                    std::function<void(probe_result)> const& done)
 {
-    auto const tested =
-        std::make_shared<exchange_connection>(loop_, endpoint_of(address), exchange_limits{});
+    auto const tested = std::make_shared<exchange_connection>(loop_, endpoint_of(address), limits_);
     auto const timeout = timers_.once(read_clocks().mono + probe_timeout, [tested, done] {
         tested->close();
         done(probe_result::no_answer);
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -26,7 +26,9 @@
 public:
     using connection = std::shared_ptr<exchange_connection>;
 
-    target_connection_pool(boost::asio::io_context& loop, loop_timers& timers);
+    /** @param limits of each connection. */
+    target_connection_pool(boost::asio::io_context& loop, loop_timers& timers,
+                           exchange_limits limits);
     ~target_connection_pool();
     target_connection_pool(target_connection_pool const&) = delete;
     target_connection_pool& operator=(target_connection_pool const&) = delete;
@@ -65,6 +67,7 @@
 
     boost::asio::io_context& loop_;
     loop_timers& timers_;
+    exchange_limits limits_;
     std::map<target_id, std::vector<connection>> idle_; ///< the most recently used at the back
     loop_timers::subscription sweep_ = 0;
 };
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+/// A shorter response is not counted; most are.
+constexpr std::uint64_t uncounted_bytes = 16 * 1024;
 constexpr int first_final_status = 200; ///< responses with a lower status (1xx) are interim ones
 constexpr int probe_interval_s = 1;     ///< between two keep-alive probes
 constexpr int max_probes = 1;           ///< unanswered ones that end a connection
@@ -51,7 +53,8 @@
 
 exchange_connection::exchange_connection(boost::asio::io_context& loop, http_endpoint peer,
                                          exchange_limits limits)
-    : socket_(loop), peer_(std::move(peer)), limits_(limits), buffer_(limits.header_bytes)
+    : socket_(loop), peer_(std::move(peer)), limits_(std::move(limits)),
+      buffer_(limits_.header_bytes)
 {
 }
 
@@ -146,6 +149,10 @@
                                   return;
                               }
                               self->received_ += size;
+                              self->account_for_received();
+                              if (self->closed_) {
+                                  return; // too many bytes of all responses together
+                              }
                               if (!error && self->received_ > self->limits_.header_bytes +
                                                                   self->limits_.body_bytes) {
                                   error = http::error::body_limit;
@@ -158,6 +165,32 @@
                           });
 }
 
+/** Counts the bytes of the response; a response that takes too much ends as broken. */
+void exchange_connection::account_for_received()
+{
+    if (!limits_.memory || received_ <= uncounted_bytes) {
+        return;
+    }
+    if (!held_) {
+        held_ = limits_.memory->join([weak = weak_from_this()] {
+            if (auto const self = weak.lock()) {
+                self->held_.reset();
+                self->finish(
+                    {exchange_outcome::broken, {}, "the responses under way take too much memory"});
+            }
+        });
+    }
+    limits_.memory->hold(*held_, received_);
+}
+
+void exchange_connection::release_memory()
+{
+    if (held_) {
+        limits_.memory->leave(*held_);
+        held_.reset();
+    }
+}
+
 void exchange_connection::on_response(error_code error)
 {
     if (error) {
@@ -206,6 +239,7 @@
 
 void exchange_connection::finish(exchange_result result)
 {
+    release_memory();
     auto const done = std::move(done_);
     done_ = nullptr;
     match_ = nullptr;
@@ -223,6 +257,7 @@
 void exchange_connection::close()
 {
     closed_ = true;
+    release_memory();
     done_ = nullptr;
     match_ = nullptr;
     wanted_ = nullptr;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -3,6 +3,7 @@
 
 #include "core/time_type.h"
 #include "http/http_type.h"
+#include "http/memory_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,6 +47,8 @@
     milliseconds tcp_user_timeout{1500};    ///< sent data unacknowledged for this long ends it
     /// Time without traffic after which the peer is probed; no reply within a second ends it.
     seconds probe_idle{2};
+    /// Bounds the responses under way on several connections; none: they are not bounded together.
+    std::shared_ptr<memory_budget> memory = nullptr;
 };
 
 /**
@@ -114,14 +117,17 @@
     void read();
     void read_some();
     void on_response(boost::system::error_code error);
+    void account_for_received();
+    void release_memory();
     void finish(exchange_result result);
     void parse_keep_alive(http_response const& response);
 
     boost::asio::ip::tcp::socket socket_;
     http_endpoint peer_;
     exchange_limits limits_;
-    boost::beast::flat_buffer buffer_; ///< bytes received and not yet parsed
-    std::uint64_t received_ = 0;       ///< bytes since the request was sent
+    boost::beast::flat_buffer buffer_;          ///< bytes received and not yet parsed
+    std::uint64_t received_ = 0;                ///< bytes since the request was sent
+    std::optional<memory_budget::holder> held_; ///< account of the response under way
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     http_request request_;
     response_matcher match_;
--- /dev/null
+++ b/src/http/memory_budget.h
@@ -0,0 +1,56 @@
+#pragma once
+/** @file Bounds the memory that answers under way take together. */
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace cove {
+
+/**
+ * Counts the bytes that several holders keep in memory. When the sum exceeds the limit, the holder
+ * of the most has to give its bytes back, so that ordinary answers are not affected by a few that
+ * do not end.
+ */
+class memory_budget {
+public:
+    using holder = std::uint64_t;
+
+    /** @param limit bytes of all holders together. */
+    explicit memory_budget(std::uint64_t limit) : limit_(limit) {}
+
+    /**
+     * Adds a holder of no bytes.
+     * @param give_back called once if the holder has to give its bytes back; it is then no holder
+     * any more. Must not call members of the budget for other holders.
+     */
+    holder join(std::function<void()> give_back);
+
+    /** Sets the bytes of a holder. May call give_back of any holder, also of this one. */
+    void hold(holder who, std::uint64_t bytes);
+
+    /** Removes a holder with its bytes; one that has already been removed is ignored. */
+    void leave(holder who);
+
+    /** @return bytes of all holders. */
+    [[nodiscard]] std::uint64_t held() const { return held_; }
+
+    /** @return how often a holder had to give its bytes back. */
+    [[nodiscard]] std::uint64_t reclaims() const { return reclaims_; }
+
+private:
+    struct account {
+        std::uint64_t bytes = 0;
+        std::function<void()> give_back;
+    };
+
+    void reclaim_from_largest();
+
+    std::uint64_t limit_;
+    std::uint64_t held_ = 0;
+    std::uint64_t reclaims_ = 0;
+    holder last_holder_ = 0;
+    std::map<holder, account> accounts_;
+};
+
+} // namespace cove
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/read.hpp>
 #include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
 
 namespace cove {
 namespace {
@@ -382,5 +384,56 @@
     EXPECT_NE(order.find('.'), std::string::npos);
 }
 
+TEST(memory_budget, takes_from_the_holder_of_the_most)
+{
+    memory_budget budget(100);
+    std::vector<int> gave_back;
+    auto const a = budget.join([&] { gave_back.push_back(1); });
+    auto const b = budget.join([&] { gave_back.push_back(2); });
+    budget.hold(a, 70);
+    budget.hold(b, 30);
+    EXPECT_TRUE(gave_back.empty());
+    budget.hold(b, 31);
+    EXPECT_EQ(gave_back, std::vector{1});
+    EXPECT_EQ(budget.held(), 31U);
+    budget.hold(a, 200); // no holder any more
+    EXPECT_EQ(budget.held(), 31U);
+    budget.hold(b, 101);
+    EXPECT_EQ(gave_back, (std::vector{1, 2}));
+    EXPECT_EQ(budget.held(), 0U);
+    EXPECT_EQ(budget.reclaims(), 2U);
+}
+
+RC_GTEST_PROP(memory_budget, never_holds_more_than_its_limit, ())
+{
+    constexpr std::uint64_t limit = 1000;
+    memory_budget budget(limit);
+    std::map<memory_budget::holder, std::uint64_t> expected;
+    auto const steps = *rc::gen::inRange(1, 100);
+    for (int i = 0; i < steps; ++i) {
+        auto const who = std::make_shared<memory_budget::holder>();
+        *who = budget.join([&expected, who] { expected.erase(*who); });
+        expected[*who] = 0;
+        auto const holder =
+            *rc::gen::elementOf(std::vector<std::pair<const memory_budget::holder, std::uint64_t>>(
+                expected.begin(), expected.end()));
+        if (*rc::gen::inRange(0, 4) == 0) {
+            budget.leave(holder.first);
+            expected.erase(holder.first);
+        }
+        else {
+            auto const bytes = *rc::gen::inRange<std::uint64_t>(0, 1200);
+            expected[holder.first] = bytes;
+            budget.hold(holder.first, bytes);
+        }
+        std::uint64_t sum = 0;
+        for (auto const& [id, bytes] : expected) {
+            sum += bytes;
+        }
+        RC_ASSERT(budget.held() == sum);
+        RC_ASSERT(budget.held() <= limit);
+    }
+}
+
 } // namespace
 } // namespace cove
--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -34,6 +34,7 @@
                             {"repeat_window", "10s"},
                             {"repeat_slack", 50},
                             {"shift_cap", 0.15},
+                            {"memory_mb", 80},
                             {"first_start", false}};
     if (!changed.empty()) {
         settings[changed] = nlohmann::json::parse(value);
