Bound the connections between hosts, and drop a message that finds none

Cause: one ZeroMQ socket for each address ever sent to, never closed, and a discovery message to all addresses at once.

Change: at most 512 open connections, the least recently used is closed first; a message for which none can be opened is dropped and counted, as one to a full queue is; a host that has heard of no other sends to 128 addresses, drawn anew, in a round.

Evidence: message_burst.reaches_a_host_after_messages_to_thousands_of_others ended with "Too many open files" while the bound was in place and the exception was not caught, and passes now. The unbounded code was not run with it.

--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -27,6 +27,8 @@
 /// Zone peers that get a periodic report, or a first discovery message, in one tick; with 53 hosts
 /// in a zone, reports then cost 8 KB/s.
 constexpr std::size_t gossip_fanout = 16;
+/// Hosts that get a discovery message of a host that has heard of no other, in one round.
+constexpr std::size_t lonely_fanout = 128;
 /// Rounds between zones that carry a changed roster; a single one may go to a host that just died.
 constexpr std::uint64_t roster_change_rounds = 3;
 /// Rounds between two refreshes of the roster, for hosts that missed every message of a change.
@@ -322,6 +324,8 @@
     gossip const hello{self_.name, self_.ip, {self_}, {own_status(now, true)}, true};
     bool const alone = zone_peer_ips(now).empty() && zones(now).size() == 1;
     if (alone) {
+        std::shuffle(ips.begin(), ips.end(), random_);
+        ips.resize(std::min(ips.size(), lonely_fanout));
         out.push_back({std::move(ips), hello});
         return;
     }
--- a/src/peer/loop_transport.cpp
+++ b/src/peer/loop_transport.cpp
@@ -1,10 +1,14 @@
 #include "peer/loop_transport.h"
 
+#include <algorithm>
+
 namespace cove {
 
 namespace {
 
-constexpr int max_messages_per_turn = 8;        ///< received before the loop does other work
+constexpr int max_messages_per_turn = 8; ///< received before the loop does other work
+/// A ZeroMQ context has 1,023 sockets; a host that sees no address twice would use them up.
+constexpr std::size_t max_open_peers = 512;
 constexpr int send_queue_limit = 64;            ///< messages per peer; more would be outdated
 constexpr int reconnect_interval_ms = 200;      ///< first wait before a reconnect
 constexpr int reconnect_interval_max_ms = 1000; ///< longest wait before a reconnect
@@ -88,15 +92,37 @@
 }
 
 void loop_transport::send(std::string const& ip, std::string const& bytes)
+{
+    if (zmq::socket_t* const socket = socket_to(ip)) {
+        socket->send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    }
+    else {
+        ++unsent_messages_;
+    }
+}
+
+zmq::socket_t* loop_transport::socket_to(std::string const& ip)
 {
     auto peer = peers_.find(ip);
     if (peer == peers_.end()) {
-        zmq::socket_t socket(context_, zmq::socket_type::push);
-        configure(socket);
-        socket.connect("tcp://" + ip + ":" + std::to_string(port_));
-        peer = peers_.emplace(ip, std::move(socket)).first;
+        if (peers_.size() >= max_open_peers) {
+            peers_.erase(
+                std::min_element(peers_.begin(), peers_.end(), [](auto const& a, auto const& b) {
+                    return a.second.last_use < b.second.last_use;
+                }));
+        }
+        try {
+            zmq::socket_t socket(context_, zmq::socket_type::push);
+            configure(socket);
+            socket.connect("tcp://" + ip + ":" + std::to_string(port_));
+            peer = peers_.emplace(ip, sender{std::move(socket)}).first;
+        }
+        catch (zmq::error_t const&) {
+            return nullptr; // out of descriptors, or ZeroMQ has not ended closed sockets yet
+        }
     }
-    peer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    peer->second.last_use = ++messages_sent_;
+    return &peer->second.socket;
 }
 
 } // namespace cove
--- a/src/peer/loop_transport.h
+++ b/src/peer/loop_transport.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -15,7 +16,10 @@
 
 namespace cove {
 
-/** Sends and receives whole messages. Drops a message to a peer whose send queue is full. */
+/**
+ * Sends and receives whole messages. Drops a message to a peer whose send queue is full, and closes
+ * the connections that were unused for longest when there are too many.
+ */
 class loop_transport {
 public:
     using message_handler = std::function<void(std::string bytes)>;
@@ -34,6 +38,9 @@
     /** Sends @p bytes to the host at @p ip. */
     void send(std::string const& ip, std::string const& bytes);
 
+    /** @return messages that were not sent because no connection could be opened. */
+    [[nodiscard]] std::uint64_t unsent_messages() const { return unsent_messages_; }
+
 private:
     void wait_readable();
     void receive_pending();
@@ -43,7 +50,18 @@
     zmq::context_t context_;
     zmq::socket_t incoming_;
     boost::asio::posix::stream_descriptor readable_;
-    std::map<std::string, zmq::socket_t> peers_; ///< sending sockets by IP
+    /** A connection to one peer. */
+    struct sender {
+        zmq::socket_t socket;
+        std::uint64_t last_use = 0; ///< number of the last message
+    };
+
+    /** @return the connection to a peer, or null if no more can be opened now. */
+    zmq::socket_t* socket_to(std::string const& ip);
+
+    std::map<std::string, sender> peers_; ///< by IP
+    std::uint64_t messages_sent_ = 0;
+    std::uint64_t unsent_messages_ = 0;
 };
 
 } // namespace cove
--- a/tests/peer/loop_transport_test.cpp
+++ b/tests/peer/loop_transport_test.cpp
@@ -80,5 +80,24 @@
     }
 }
 
+// A host that was told of more addresses than ZeroMQ has sockets ended with an exception.
+TEST_F(message_burst, reaches_a_host_after_messages_to_thousands_of_others)
+{
+    loop_transport many(loop, port, [](std::string const&) {});
+    many.send("127.0.0.1", "message");
+    ASSERT_TRUE(receive(1));
+    for (int i = 0; i < 3000; ++i) {
+        many.send("127.1." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250),
+                  "message");
+    }
+    auto const end = std::chrono::steady_clock::now() + limit;
+    while (received < 2 && std::chrono::steady_clock::now() < end) {
+        many.send("127.0.0.1", "message"); // ZeroMQ may still be ending closed sockets
+        loop.restart();
+        loop.run_for(milliseconds{20});
+    }
+    EXPECT_GE(received, 2);
+}
+
 } // namespace
 } // namespace cove
--- a/tests/peer/replaced_hosts_test.cpp
+++ b/tests/peer/replaced_hosts_test.cpp
@@ -106,6 +106,20 @@
     EXPECT_TRUE(all.hosts.at("ip-a3").starting_zone_peers(all.now).empty());
 }
 
+// A host that hears of nobody sent to all addresses that it knew at once.
+TEST(replaced_hosts, get_a_bounded_number_of_messages_in_a_round)
+{
+    fleet all;
+    all.add("y", "a");
+    for (char const* const prefix : {"a", "b", "c", "d", "e"}) {
+        tell_addresses(all, "y", "a", names(prefix, 100));
+    }
+    all.advance(milliseconds{1000});
+    EXPECT_LE(all.sent_messages["ip-y"], 200);
+    all.advance(seconds{10});
+    EXPECT_GE(all.sent_messages["ip-y"], 1000); // all of them more than once on average
+}
+
 // Hosts of a zone that was replaced as a whole are found by the other zones and by each other.
 TEST(replaced_hosts, of_a_whole_zone_are_dropped_for_the_new_ones)
 {
