Make one call on addresses of hosts at a time

Found when reading the change once more: the connection for addresses of hosts carries one call at a time, and a host that writes its address again because the store went back could do so while its first registration, or the list of hosts, was under way. It now waits for that. host_at_return. writes_its_address_again_after_the_pending_call was run with the change only.

Also: an entry that the older copy lacks stays held when a list of a peer lacks it too (returned_list.keeps_what_the_copy_lacks_also_beside_a_list_of_a_peer).

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -49,7 +49,7 @@
 {
     era_ = std::max(era_, era);
     if (!listed_ || at_.era >= era_) {
-        return; // the next answer is of this era already, or its list is not older
+        return; // a list is under way or deferred, or the copy is of that era already
     }
     listed_ = false;
     timers_.cancel(next_call_);
--- a/src/follow/known_versions_type.h
+++ b/src/follow/known_versions_type.h
@@ -21,9 +21,6 @@
                evacuations >= other.evacuations;
     }
 
-    /** @return the latest era of the store that this data is of. */
-    [[nodiscard]] store_era era() const { return std::max(targets.era, evacuations.era); }
-
     /** Sets each version to the newer one of this and @p other. */
     void merge(known_versions const& other)
     {
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -336,8 +336,15 @@
 
 void entry_host::register_self(int failures)
 {
+    if (host_call_pending_) {
+        timers_.once(read_clocks().mono + store_retry_delay,
+                     [this, failures] { register_self(failures); });
+        return;
+    }
+    host_call_pending_ = true;
     host_record const self{node_id(settings_.name), zone_id(settings_.zone), settings_.ip};
     store_.register_host(self, registered_, [this, failures](bool done) {
+        host_call_pending_ = false;
         if (done) {
             registered_ = true;
             if (!hosts_listed_) {
@@ -352,7 +359,14 @@
 
 void entry_host::list_hosts(int failures)
 {
+    if (host_call_pending_) {
+        timers_.once(read_clocks().mono + store_retry_delay,
+                     [this, failures] { list_hosts(failures); });
+        return;
+    }
+    host_call_pending_ = true;
     store_.list_hosts([this, failures](bool done) {
+        host_call_pending_ = false;
         if (!done) {
             retry_store_call("list_hosts_failed", failures + 1,
                              [this, failures] { list_hosts(failures + 1); });
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -133,6 +133,7 @@
     store_era era_;                       ///< latest one named by the store or by a peer
     std::uint64_t store_returns_ = 0;     ///< from older copies, since this host started
     bool registered_ = false;             ///< the store has, or had, the address of this host
+    bool host_call_pending_ = false;      ///< a call on addresses of hosts; there is one at a time
     std::optional<packed_config> config_; ///< the active configuration
     bool config_push_pending_ = false;
     byte_budget bulk_answers_;
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -22,7 +22,7 @@
     /**
      * Adds a holder of no bytes.
      * @param give_back called once if the holder has to give its bytes back; it is then no holder
-     * any more. Must not call members of the budget for other holders.
+     * any more.
      */
     holder join(std::function<void()> give_back);
 
--- a/src/traffic/target_list.cpp
+++ b/src/traffic/target_list.cpp
@@ -70,7 +70,7 @@
         if (went_back) {
             pending_removals_.try_emplace(id, now + return_grace + report_lag);
         }
-        else {
+        else if (!pending_removals_.contains(id)) {
             remove(id, now);
         }
     }
--- a/tests/host/store_return_test.cpp
+++ b/tests/host/store_return_test.cpp
@@ -67,5 +67,34 @@
     EXPECT_EQ(std::adjacent_find(registered.begin(), registered.end()), registered.end());
 }
 
+// The connection for addresses of hosts carries one call at a time.
+TEST(host_at_return, writes_its_address_again_after_the_pending_call)
+{
+    boost::asio::io_context loop;
+    loop_timers timers(loop);
+    store_hooks store;
+    std::vector<std::function<void(bool)>> calls;
+    auto const settings = host_settings_table().parse(settings_text(), "test");
+    ASSERT_TRUE(settings);
+    entry_host host(
+        loop, timers, *settings, test_wire_format(), [settings] { return *settings; },
+        [&](store_hooks hooks) {
+            store = std::move(hooks);
+            store_calls out = silent_store();
+            out.register_host = [&](host_record const&, bool, std::function<void(bool)> done) {
+                calls.push_back(std::move(done));
+            };
+            return out;
+        });
+    ASSERT_TRUE(host.start());
+    store.era_began(store_era(1));
+    store.era_began(store_era(2));
+    run_until(
+        loop, [] { return false; }, milliseconds{300});
+    ASSERT_EQ(calls.size(), 1U);
+    calls[0](true);
+    EXPECT_TRUE(run_until(loop, [&] { return calls.size() == 2; }));
+}
+
 } // namespace
 } // namespace cove
--- a/tests/support/zone_case.h
+++ b/tests/support/zone_case.h
@@ -33,6 +33,7 @@
                     stores.push_back(std::move(hooks));
                     store_calls calls = silent_store();
                     calls.read_config = read_config;
+                    calls.list_hosts = [](std::function<void(bool)> const& done) { done(true); };
                     calls.register_host = [this](host_record const& host, bool,
                                                  std::function<void(bool)> const& done) {
                         registered.push_back(host.name);
--- a/tests/traffic/store_return_test.cpp
+++ b/tests/traffic/store_return_test.cpp
@@ -61,6 +61,13 @@
     EXPECT_FALSE(phase("b"));
 }
 
+TEST_F(returned_list, keeps_what_the_copy_lacks_also_beside_a_list_of_a_peer)
+{
+    list.replace({entry("a")}, position(30, 2), start);
+    list.replace({entry("a")}, position(31, 2), start);
+    EXPECT_TRUE(phase("b"));
+}
+
 TEST_F(returned_list, obeys_a_removal_of_the_later_era_at_once)
 {
     list.replace({entry("a"), entry("b")}, position(30, 2), start);
