Write a constant and a test's parameter as clang-tidy wants them

clang-tidy reported a multiplication in int and a parameter taken by value; the machine code of the first does not depend on it. No other change.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// A shorter response is not counted; most are.
-constexpr std::uint64_t uncounted_bytes = 16 * 1024;
+constexpr std::uint64_t uncounted_bytes = 16'384;
 constexpr int first_final_status = 200; ///< responses with a lower status (1xx) are interim ones
 constexpr int probe_interval_s = 1;     ///< between two keep-alive probes
 constexpr int max_probes = 1;           ///< unanswered ones that end a connection
--- a/tests/support/returning_store.h
+++ b/tests/support/returning_store.h
@@ -22,10 +22,10 @@
 
     [[nodiscard]] std::string address() const { return server_.address(); }
 
-    void put(std::string const& kind, std::string const& name, nlohmann::json spec = {})
+    void put(std::string const& kind, std::string const& name, nlohmann::json const& spec = {})
     {
         state_.objects[kind][name] = spec;
-        add_event(kind, name, std::move(spec), false);
+        add_event(kind, name, spec, false);
     }
 
     void remove(std::string const& kind, std::string const& name)
@@ -74,14 +74,12 @@
         return {{"metadata", {{"name", name}}}, {"spec", spec}};
     }
 
-    void add_event(std::string const& kind, std::string const& name, nlohmann::json spec,
+    void add_event(std::string const& kind, std::string const& name, nlohmann::json const& spec,
                    bool deleted)
     {
         ++state_.revision;
         state_.events.push_back(
-            {state_.revision,
-             kind,
-             {{"object", object(name, std::move(spec))}, {"deleted", deleted}}});
+            {state_.revision, kind, {{"object", object(name, spec)}, {"deleted", deleted}}});
     }
 
     std::string respond(int status, nlohmann::json const& body) const
