--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -27,7 +27,7 @@
 /// Zone peers that get a periodic report, or a first discovery message, in one tick; with 53 hosts
 /// in a zone, reports then cost 8 KB/s.
 constexpr std::size_t gossip_fanout = 16;
-/// Hosts that get a discovery message of a host that has heard of no other, in one round.
+/// Receivers of one round of discovery messages while no other host has answered.
 constexpr std::size_t lonely_fanout = 128;
 /// Rounds between zones that carry a changed roster; a single one may go to a host that just died.
 constexpr std::uint64_t roster_change_rounds = 3;
--- a/tests/peer/replaced_hosts_test.cpp
+++ b/tests/peer/replaced_hosts_test.cpp
@@ -50,7 +50,7 @@
     EXPECT_FALSE(all.hosts.at("ip-a5").follows_store(max_followers, all.now));
 }
 
-// Hosts that start together must not all follow the store before they have heard of each other.
+// Hosts that start together know only addresses at first; not all may follow the store then.
 TEST(replaced_hosts, are_told_from_hosts_that_start_at_the_same_time)
 {
     fleet all;
