Notice within three quarters of contact that the store's connections say nothing

What callers saw (CONFIG, HOME; DRAIN and EVAC alike): requests handled by the old service or in the old home, by hosts in touch.

Cause: a connection to the store whose other end acknowledges and says nothing is noticed by nothing but the time-out of the watch. The wait of the first follower was the drain time and its time-out 1.5 s more, which is longer than contact; nothing related the two. A host that became the first follower went on with the wait of the second one, 9.5 s. Class of fault: a wait whose bound is not derived from the promise that depends on it.

Change: the setting store_silence_max (contact; 3 s if absent) bounds wait and time-out together. The time-out is a third of the bound, longer if the store has lately answered slowly. A watch that heard nothing in all of its time is repeated at once on a new connection, and a pending watch that takes longer than it may from now on is replaced. The price is more watches of first followers: one each 1.5 s instead of 2.0 s at the shortest contact.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -63,6 +63,17 @@
     }
 }
 
+void follower::set_silence_max(milliseconds silence_max)
+{
+    timing_.set_silence_max(silence_max);
+    bool const watching = call_pending_ && listed_;
+    if (watching &&
+        read_clocks().mono + silence_max < call_started_ + times_.wait + times_.timeout) {
+        calls_.abort();
+        call_store();
+    }
+}
+
 void follower::set_active(bool active)
 {
     if (active == active_) {
@@ -92,13 +103,17 @@
 void follower::call_store()
 {
     call_pending_ = true;
+    call_started_ = read_clocks().mono;
+    times_ = {};
     auto const done = [this, watched = listed_](follow_result const& answer) {
         call_pending_ = false;
         on_answer(answer, watched);
     };
     if (listed_) {
         // After a failure, an answer without delay tells that the store is back.
-        calls_.watch(at_, reachable_ ? longest_wait_ : milliseconds{0}, done);
+        times_ =
+            reachable_ ? timing_.next() : watch_times{milliseconds{0}, watch_timing::max_timeout};
+        calls_.watch(at_, times_, done);
     }
     else {
         calls_.list(next_list_, done);
@@ -112,21 +127,29 @@
     if (at_.era < era_) {
         listed_ = false; // the copy is of an earlier era
     }
+    auto const elapsed =
+        std::chrono::duration_cast<milliseconds>(read_clocks().mono - call_started_);
     switch (answer.status) {
     case follow_status::done:
         set_reachable(true, "");
         last_answer_ = read_clocks().mono;
+        if (elapsed >= times_.wait) { // else a change ended the wait
+            timing_.add_answer(elapsed - times_.wait);
+        }
         on_data(answer.at, watched);
         break;
     case follow_status::history_expired:
         listed_ = false;
         call_store();
         break;
-    case follow_status::failed:
+    case follow_status::failed: {
+        // A whole wait without an answer has spared the store calls; a new connection may work.
+        bool const waited = reachable_ && elapsed >= times_.wait + times_.timeout;
         set_reachable(false, answer.detail);
-        schedule_call(retry_delays_.next_delay());
+        schedule_call(waited ? milliseconds{0} : retry_delays_.next_delay());
         break;
     }
+    }
 }
 
 void follower::on_data(store_position at, bool watched)
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -4,6 +4,7 @@
 #include "core/backoff.h"
 #include "core/store_position_type.h"
 #include "core/time_type.h"
+#include "follow/watch_timing.h"
 #include "http/loop_timers.h"
 
 #include <functional>
@@ -32,8 +33,8 @@
 struct follow_calls {
     using done = std::function<void(follow_result)>;
     std::function<void(read_freshness, done)> list;
-    /// Waits for changes after the position, at most for the given time.
-    std::function<void(store_position, milliseconds, done)> watch;
+    /// Waits for changes after the position.
+    std::function<void(store_position, watch_times, done)> watch;
     std::function<void()> abort; ///< cancels the pending call; its done is not called
     std::function<void(bool up, std::string const& detail)> reachable; ///< on each change
 };
@@ -81,10 +82,10 @@
     void set_batch_delay(milliseconds delay) { batch_delay_ = delay; }
 
     /**
-     * Sets how long a watch waits for changes. It bounds the delay until a watch whose answer was
-     * lost is noticed; each watch is charged.
+     * Sets the bound on the time until a watch without an answer is replaced; each watch is
+     * charged. A pending watch that would take longer is replaced at once.
      */
-    void set_longest_wait(milliseconds wait) { longest_wait_ = wait; }
+    void set_silence_max(milliseconds silence_max);
 
     /** @return whether the last call succeeded; true before the first one has ended. */
     [[nodiscard]] bool reachable() const { return reachable_; }
@@ -93,7 +94,6 @@
     [[nodiscard]] mono_time last_answer() const { return last_answer_; }
 
     static constexpr milliseconds default_batch_delay{150};
-    static constexpr milliseconds default_longest_wait{8000};
 
 private:
     void call_store();
@@ -106,9 +106,11 @@
     follow_calls calls_;
     backoff retry_delays_;
     milliseconds batch_delay_ = default_batch_delay;
-    milliseconds longest_wait_ = default_longest_wait;
-    store_position at_; ///< of the copy
-    store_era era_;     ///< latest one known
+    watch_timing timing_;
+    watch_times times_;        ///< of the last watch
+    mono_time call_started_{}; ///< of the last call
+    store_position at_;        ///< of the copy
+    store_era era_;            ///< latest one known
     bool active_ = false;
     bool listed_ = false;
     read_freshness next_list_ = read_freshness::current;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -29,6 +29,9 @@
 constexpr double leader_batch_fraction = 0.125;
 /// The same for the second one, which only has to notice what the first one misses.
 constexpr double standby_batch_fraction = 0.33;
+/// Fraction of the longest silence of the store after which it is noticed; the rest is for a new
+/// connection and for telling the zone.
+constexpr double noticed_fraction = 0.75;
 constexpr milliseconds store_retry_delay{500}; ///< multiplied by the number of failures so far
 /// Mean time between the hosts that write their addresses again after the store has lost them.
 constexpr milliseconds registration_interval{10};
@@ -295,8 +298,9 @@
     target_follower_.set_batch_delay(
         fraction_of(settings_.drain, leads ? leader_batch_fraction : standby_batch_fraction));
     for (follower* const each : {&config_follower_, &target_follower_, &evacuation_follower_}) {
-        // If an answer of the store is lost, the first follower of the zone notices in time.
-        each->set_longest_wait(leads ? settings_.drain : follower::default_longest_wait);
+        // The first follower of the zone notices in time that the store has fallen silent.
+        each->set_silence_max(leads ? fraction_of(settings_.store_silence_max, noticed_fraction)
+                                    : watch_timing::default_silence_max);
     }
     config_follower_.set_active(follows_store_);
     target_follower_.set_active(follows_store_);
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -44,6 +44,10 @@
                  "port for requests that other entry hosts relay, the same on all hosts")
         .ip_port_list("seeds", &s::seeds, "addresses of some entry hosts; the port is ignored")
         .ip_port("store_address", &s::store_address, "address of the platform's store")
+        .duration("store_silence_max", &s::store_silence_max,
+                  "time within which a silent connection to the store is replaced and its changes "
+                  "are in force")
+        .optional()
         .duration("heartbeat", &s::heartbeat, "interval between a target's reports to the store")
         .duration("drain", &s::drain, "time after which a leaving target gets no new requests")
         .duration("grace", &s::grace, "time between SIGTERM and SIGKILL")
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -25,6 +25,7 @@
     int relay_port = 0;
     std::vector<std::string> seeds; ///< IP:port; the port is ignored
     std::string store_address;
+    milliseconds store_silence_max{3000};
     milliseconds heartbeat{};
     milliseconds drain{};
     milliseconds grace{};
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -4,6 +4,7 @@
 #include "support/scripted_server.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace cove {
 namespace {
@@ -21,10 +22,11 @@
             list_freshness = freshness;
             answer = std::move(done);
         };
-        out.watch = [this](store_position from, milliseconds wait, follow_calls::done done) {
+        out.watch = [this](store_position from, watch_times times, follow_calls::done done) {
             ++watches;
             watch_start = from;
-            watch_wait = wait;
+            watch_wait = times.wait;
+            watch_timeout = times.timeout;
             answer = std::move(done);
         };
         out.abort = [this] {
@@ -68,6 +70,7 @@
     int regained = 0;
     store_position watch_start;
     milliseconds watch_wait{};
+    milliseconds watch_timeout{};
     read_freshness list_freshness = read_freshness::current;
     follower subject;
 };
@@ -189,7 +192,7 @@
 TEST_F(follower_case, asks_without_a_wait_whether_a_lost_store_is_back)
 {
     subject.set_active(true);
-    subject.set_longest_wait(milliseconds{4000});
+    subject.set_silence_max(milliseconds{4000} + watch_timing::max_timeout);
     subject.start(true);
     reply(follow_status::done, 40);
     ASSERT_TRUE(calls_again());
@@ -202,6 +205,72 @@
     EXPECT_EQ(watch_wait, milliseconds{4000});
 }
 
+TEST_F(follower_case, asks_at_once_after_a_watch_that_heard_nothing_for_all_of_its_time)
+{
+    subject.set_silence_max(milliseconds{60});
+    watch_from_40();
+    run_until(
+        loop, [] { return false; }, milliseconds{70});
+    reply(follow_status::failed);
+    EXPECT_TRUE(run_until(
+        loop, [this] { return answer != nullptr; }, milliseconds{20}));
+    EXPECT_EQ(watch_wait, milliseconds{0});
+}
+
+// A host that became the first one of its zone believed its long watch for 9.5 s.
+TEST_F(follower_case, replaces_a_watch_that_takes_longer_than_it_may_from_now_on)
+{
+    watch_from_40();
+    subject.set_silence_max(watch_timing::default_silence_max);
+    EXPECT_EQ(aborts, 0);
+    subject.set_silence_max(milliseconds{3000});
+    EXPECT_EQ(aborts, 1);
+    EXPECT_EQ(watches, 2);
+    EXPECT_LE(watch_wait + watch_timeout, milliseconds{3000});
+    subject.set_silence_max(milliseconds{3000});
+    EXPECT_EQ(watches, 2);
+}
+
+TEST_F(follower_case, does_not_take_the_time_until_a_change_for_a_slow_answer)
+{
+    watch_from_40();
+    milliseconds const timeout = watch_timeout;
+    run_until(
+        loop, [] { return false; }, timeout);
+    reply(follow_status::done, 41);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_timeout, timeout);
+}
+
+RC_GTEST_PROP(watch_timing, times_stay_within_the_bound, ())
+{
+    watch_timing timing;
+    milliseconds const bound{*rc::gen::inRange(600, 20'000)};
+    timing.set_silence_max(bound);
+    for (int const delay : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3000))) {
+        timing.add_answer(milliseconds{delay});
+        watch_times const times = timing.next();
+        RC_ASSERT(times.wait + times.timeout == bound);
+        RC_ASSERT(times.wait >= bound / 3);
+        RC_ASSERT(times.timeout > milliseconds{0});
+        RC_ASSERT(times.timeout <= watch_timing::max_timeout);
+    }
+}
+
+TEST(watch_timing, gives_a_slow_store_more_time_to_answer)
+{
+    constexpr milliseconds bound{2250};
+    watch_timing timing;
+    timing.set_silence_max(bound);
+    EXPECT_EQ(timing.next(), (watch_times{milliseconds{1500}, milliseconds{750}}));
+    timing.add_answer(milliseconds{900});
+    EXPECT_EQ(timing.next(), (watch_times{milliseconds{750}, milliseconds{1500}}));
+    for (int i = 0; i < 10; ++i) {
+        timing.add_answer(milliseconds{2});
+    }
+    EXPECT_EQ(timing.next(), (watch_times{milliseconds{1500}, milliseconds{750}}));
+}
+
 TEST_F(follower_case, lists_but_does_not_watch_while_inactive)
 {
     subject.start(true);
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -86,7 +86,8 @@
     EXPECT_EQ(malformed, 1);
 
     ended.reset();
-    calls.watch(position(5, 0), milliseconds{0}, [&](follow_result const& got) { ended = got; });
+    calls.watch(position(5, 0), {milliseconds{0}, milliseconds{1500}},
+                [&](follow_result const& got) { ended = got; });
     ASSERT_TRUE(run_until(loop, [&] { return ended.has_value(); }));
     ASSERT_EQ(ended->status, follow_status::done) << ended->detail;
     ASSERT_EQ(changed->changes.size(), 3U); // the odd entry is one that names no target any more
--- a/tests/platform/silent_store_test.cpp
+++ b/tests/platform/silent_store_test.cpp
@@ -45,7 +45,7 @@
         follow_calls calls = client->calls().targets;
         calls.reachable = [](bool, std::string const&) {};
         subject = std::make_unique<follower>(timers, calls, 1);
-        subject->set_longest_wait(subject_wait);
+        subject->set_silence_max(silence_max);
         subject->set_active(true);
         subject->start(true);
         ASSERT_TRUE(run_until(loop, [this] { return watches == 1; }));
@@ -67,7 +67,7 @@
     std::unique_ptr<store_client> client;
     std::unique_ptr<follower> subject;
     bool answers_watches = false;
-    milliseconds subject_wait = follower::default_longest_wait;
+    milliseconds silence_max = watch_timing::default_silence_max;
     int watches = 0;
     store_position known;
 };
@@ -82,7 +82,7 @@
 TEST_F(silent_store, a_watch_whose_answer_is_lost_is_repeated_within_contact_and_drain)
 {
     constexpr milliseconds drain{2000}; ///< the shortest of the deployments
-    subject_wait = drain;
+    silence_max = drain + watch_timing::max_timeout;
     follow();
     EXPECT_LT(time_until_answered(), contact + drain);
 }
--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -73,7 +73,7 @@
 {
     follow_calls calls;
     calls.list = [](read_freshness, follow_calls::done const&) {};
-    calls.watch = [](store_position, milliseconds, follow_calls::done const&) {};
+    calls.watch = [](store_position, watch_times, follow_calls::done const&) {};
     calls.abort = [] {};
     store_calls port;
     port.config = port.targets = port.evacuations = calls;
