Wait before a list that the store has refused is repeated

Found on reading the change before it: a refused list counted as a watch that had heard nothing in all of its time, as it has none, and was repeated at once, by each follower, in an outage. The new test failed before.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -144,7 +144,7 @@
         break;
     case follow_status::failed: {
         // A whole wait without an answer has spared the store calls; a new connection may work.
-        bool const waited = reachable_ && elapsed >= times_.wait + times_.timeout;
+        bool const waited = watched && reachable_ && elapsed >= times_.wait + times_.timeout;
         set_reachable(false, answer.detail);
         schedule_call(waited ? milliseconds{0} : retry_delays_.next_delay());
         break;
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -217,6 +217,15 @@
     EXPECT_EQ(watch_wait, milliseconds{0});
 }
 
+TEST_F(follower_case, waits_before_it_repeats_a_list_that_was_refused)
+{
+    subject.set_active(true);
+    subject.start(true);
+    reply(follow_status::failed);
+    EXPECT_FALSE(run_until(
+        loop, [this] { return answer != nullptr; }, milliseconds{80}));
+}
+
 // A host that became the first one of its zone believed its long watch for 9.5 s.
 TEST_F(follower_case, replaces_a_watch_that_takes_longer_than_it_may_from_now_on)
 {
