Failing tests: connections to the store that acknowledge and say nothing (CONFIG, HOME, DRAIN, EVAC)

What callers saw: requests handled by the old service or in the old home, by hosts that were in touch again. The three tests mute the open connections between one host and its store, change something a second later, and ask that the host knows it within contact (3 s) of the silence.

The fixture of store_return_test.cpp moves to support/store_case.h, where each host reaches its store over a link that can be cut; its nine tests pass as before.

--- a/tests/platform/store_return_test.cpp
+++ b/tests/platform/store_return_test.cpp
@@ -1,73 +1,12 @@
 /** @file An entry host before a store that comes back from an older copy of its data. */
 
-#include "platform/store_client.h"
-#include "support/host_case.h"
-#include "support/returning_store.h"
+#include "support/store_case.h"
 
 namespace cove {
 namespace {
 
-constexpr milliseconds contact{3000}; ///< the shortest of the deployments
-constexpr milliseconds drain{2000};   ///< the same
-
-/** A ready host of the name `h1` whose store has two targets. */
-class store_return : public testing::Test {
+class store_return : public store_case {
 protected:
-    store_return() : timers(loop), store(loop)
-    {
-        store.put("config", "main", nlohmann::json::parse(config_text));
-        store.put("servers", "t0", target("10.0.0.1:80"));
-        store.put("servers", "t1", target("10.0.0.2:80"));
-        auto const settings = host_settings_table().parse(settings_text(), "test");
-        EXPECT_TRUE(settings);
-        metrics_address = settings->metrics_address;
-        host = std::make_unique<entry_host>(
-            loop, timers, *settings, test_wire_format(), [settings] { return *settings; },
-            [this](store_hooks hooks) {
-                client =
-                    std::make_unique<store_client>(loop, timers, store.address(), std::move(hooks));
-                return client->calls();
-            });
-    }
-
-    static nlohmann::json target(std::string const& address, std::string const& state = "ready")
-    {
-        return {{"address", address},
-                {"born", 1000},
-                {"info", {{"service", "desk"}, {"slots", 3}, {"zone", "east"}}},
-                {"status", {{"cold_remaining", "0ms"}, {"seq", 1}, {"state", state}}}};
-    }
-
-    /** @return a metric of the host, or -1 if it has none of that name. */
-    long metric(std::string const& name)
-    {
-        http_request request(boost::beast::http::verb::get, "/metrics", 11);
-        std::string const text =
-            exchange_once(loop, metrics_address, std::move(request)).response.body();
-        auto const at = text.find("\n" + name + " ");
-        return at == std::string::npos ? -1 : std::stol(text.substr(at + name.size() + 2));
-    }
-
-    void run_for(milliseconds time)
-    {
-        run_until(
-            loop, [] { return false; }, time);
-    }
-
-    bool becomes(std::string const& name, long value, milliseconds time)
-    {
-        return run_until(
-            loop, [&] { return metric(name) == value; }, time);
-    }
-
-    /** Lets the host follow the store. */
-    void start()
-    {
-        ASSERT_TRUE(host->start());
-        ASSERT_TRUE(becomes("cove_targets", 2, contact));
-        ASSERT_TRUE(becomes("cove_follows_store", 1, contact));
-    }
-
     /** The store loses what was written since its last copy. */
     void go_back()
     {
@@ -75,18 +14,6 @@
         run_for(milliseconds{1000});
         store.come_back();
     }
-
-    static constexpr char const* config_text =
-        R"({"version":"00000005","resources":[{"resource_kind":"limits","metadata":{},"spec":
-        {"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout":"3s",
-        "idle_timeout":"15s"}}]})";
-
-    boost::asio::io_context loop;
-    loop_timers timers;
-    returning_store store;
-    std::string metrics_address;
-    std::unique_ptr<store_client> client;
-    std::unique_ptr<entry_host> host;
 };
 
 // EVAC: an evacuation ordered after the store had come back older was never carried out.
--- a/tests/support/cut_link.h
+++ b/tests/support/cut_link.h
@@ -12,6 +12,7 @@
     silent, ///< open ones hang, attempts to connect get no reply
     reset,  ///< open ones are reset, new ones refused
     closed, ///< open ones live on, new ones are refused
+    mute,   ///< open ones hang, though what is sent on them is acknowledged; new ones work
 };
 
 /** Forwards connections to one address. */
@@ -32,13 +33,15 @@
     void cut(link_cut how)
     {
         boost::system::error_code ignored;
-        acceptor_.close(ignored);
+        if (how != link_cut::mute) {
+            acceptor_.close(ignored);
+        }
         if (how == link_cut::silent) {
             fill_backlog();
         }
         for (auto const& weak : pipes_) {
             if (auto const pipe = weak.lock()) {
-                pipe->hangs = how == link_cut::silent;
+                pipe->hangs = how == link_cut::silent || how == link_cut::mute;
                 if (how == link_cut::reset) {
                     pipe->near.set_option(boost::asio::socket_base::linger(true, 0), ignored);
                     pipe->near.close(ignored);
--- a/tests/support/returning_store.h
+++ b/tests/support/returning_store.h
@@ -20,7 +20,7 @@
     {
     }
 
-    [[nodiscard]] std::string address() const { return server_.address(); }
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const { return server_.endpoint(); }
 
     void put(std::string const& kind, std::string const& name, nlohmann::json const& spec = {})
     {
