--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -24,11 +24,9 @@
 constexpr std::uint64_t zone_gossip_interval_ticks = 4;
 /// Ticks between messages to hosts that have not been heard from.
 constexpr std::uint64_t discovery_interval_ticks = 4;
-/// Zone peers that get a periodic report, or a first discovery message, in one tick; with 53 hosts
-/// in a zone, reports then cost 8 KB/s.
+/// Zone peers that get a periodic report in one tick; with 53 hosts in a zone, reports then cost
+/// 8 KB/s.
 constexpr std::size_t gossip_fanout = 16;
-/// Receivers of one round of discovery messages while no other host has answered.
-constexpr std::size_t lonely_fanout = 128;
 /// Rounds between zones that carry a changed roster; a single one may go to a host that just died.
 constexpr std::uint64_t roster_change_rounds = 3;
 /// Rounds between two refreshes of the roster, for hosts that missed every message of a change.
@@ -272,73 +270,6 @@
     out.push_back({std::move(ips), message});
 }
 
-/** @return the IPs of known hosts that are neither live zone peers nor in a live zone's roster. */
-std::vector<std::string> host_view::discovery_ips(mono_time now) const
-{
-    std::set<std::string> ips = seeds_;
-    for (auto const& [name, host] : zone_peers_) {
-        if (!is_alive(host, now)) {
-            ips.insert(host.report.ip);
-        }
-    }
-    std::set<std::string> reachable;
-    for (auto const& [name, zone] : remote_zones_) {
-        std::set<std::string>& known = is_alive(zone, now) ? reachable : ips;
-        known.insert(zone.status.ip);
-        for (roster_host const& host : roster_of(zone)) {
-            known.insert(host.ip);
-        }
-    }
-    for (auto const& [name, host] : remote_hosts_) {
-        if (!reachable.contains(host.ip)) {
-            ips.insert(host.ip);
-        }
-    }
-    return {ips.begin(), ips.end()};
-}
-
-/** Sends a discovery message to zone peers whose address is new, to a few of them per tick. */
-void host_view::greet_new_contacts(host_effects& out, mono_time now)
-{
-    std::vector<std::string> receivers;
-    while (!contacts_to_greet_.empty() && receivers.size() < gossip_fanout) {
-        zone_peer const& host = zone_peers_[contacts_to_greet_.back()];
-        contacts_to_greet_.pop_back();
-        if (!host.has_reported) {
-            receivers.push_back(host.report.ip);
-        }
-    }
-    if (!receivers.empty()) {
-        out.push_back({std::move(receivers),
-                       gossip{self_.name, self_.ip, {self_}, {own_status(now, true)}, true}});
-    }
-}
-
-/** Sends discovery messages: finds hosts at the start and again after a network partition. */
-void host_view::send_discovery(host_effects& out, mono_time now)
-{
-    std::vector<std::string> ips = discovery_ips(now);
-    if (ips.empty()) {
-        return;
-    }
-    gossip const hello{self_.name, self_.ip, {self_}, {own_status(now, true)}, true};
-    bool const alone = zone_peer_ips(now).empty() && zones(now).size() == 1;
-    if (alone) {
-        std::shuffle(ips.begin(), ips.end(), random_);
-        ips.resize(std::min(ips.size(), lonely_fanout));
-        out.push_back({std::move(ips), hello});
-        return;
-    }
-    std::vector<std::string> receivers;
-    for (auto const& [name, host] : zone_peers_) { // zone peers come first
-        if (state_of(host, now) == peer_state::starting && receivers.size() < gossip_fanout) {
-            receivers.push_back(host.report.ip);
-        }
-    }
-    receivers.push_back(ips[random_below(random_, ips.size())]);
-    out.push_back({std::move(receivers), hello});
-}
-
 host_effects host_view::tick(local_host_state const& own, mono_time now)
 {
     host_effects out;
