Replace connections between hosts of a zone that acknowledge and lose messages

ZeroMQ has no answer of its own: when the other end of a connection acknowledges at TCP and what is sent does not arrive, the sender never notices and the connection lives on.

The receiver notices, since reports come each round: it asks a zone peer that is late (1.5 s, or two rounds of a large zone) for a report, over a new connection. The peer knows the asker as a host that gets its reports, takes the question as proof that they are lost, and answers over a new connection as well, with its own report only. No message is added while reports arrive, and none to the protocol. A host that was paused first receives what has arrived meanwhile.

--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -58,6 +58,9 @@
 void entry_host::send(host_effects const& effects)
 {
     for (outgoing_host_message const& effect : effects) {
+        for (std::string const& ip : effect.reconnect) {
+            transport_.disconnect(ip);
+        }
         transmit(effect.ips, effect.message);
     }
 }
--- a/src/peer/host_discovery.cpp
+++ b/src/peer/host_discovery.cpp
@@ -12,6 +12,17 @@
 constexpr std::size_t lonely_fanout = 128;
 /// Zone peers that get a discovery message in one round.
 constexpr std::size_t discovery_fanout = 16;
+/// A zone peer is asked for a report when none has arrived for this long, or for two rounds of
+/// reports in a large zone.
+constexpr milliseconds late_report_timeout{1500};
+/// A host that is asked has answered, or the new connection has failed, by then.
+constexpr milliseconds ask_interval{1000};
+/// Time between two ticks from which on this host has been paused.
+constexpr milliseconds longest_tick{1000};
+/// A connection younger than this is not replaced; what was just sent on it would be lost.
+constexpr milliseconds min_connection_age{500};
+/// After this, a host that does not answer counts as gone.
+constexpr milliseconds ask_period{10'000};
 
 } // namespace
 
@@ -82,4 +93,76 @@
     out.push_back({std::move(receivers), hello});
 }
 
+/** @return whether reports of @p host have ceased, though it has not announced its shutdown. */
+bool host_view::is_late(zone_peer const& host, mono_time now) const
+{
+    milliseconds const two_rounds = tick_interval * (2 * ticks_per_zone_round() + 1);
+    auto const timeout = std::max(late_report_timeout, two_rounds);
+    auto const silence = now - host.last_heard;
+    return host.has_reported && !host.report.leaving && silence >= timeout && silence < ask_period;
+}
+
+/** Asks hosts that are late for an answer, over new connections: both ways may lose messages. */
+void host_view::ask_late_hosts(host_effects& out, mono_time now)
+{
+    if (now - last_tick_ >= longest_tick) {
+        return; // after a pause of this host, what has arrived meanwhile is received first
+    }
+    std::vector<std::string> ips;
+    for (auto& [name, host] : zone_peers_) {
+        if (is_late(host, now) && now - host.asked >= ask_interval) {
+            host.asked = now;
+            ips.push_back(host.report.ip);
+        }
+    }
+    if (!ips.empty()) {
+        out.push_back(
+            {ips, gossip{self_.name, self_.ip, {self_}, {}, true}, replace_connections(ips, now)});
+    }
+}
+
+/**
+ * @return the IPs of the hosts to which messages of this host may be lost, as @p asking shows: it
+ * comes from a host that gets reports of this one.
+ */
+std::vector<std::string> host_view::unheard_links(gossip const& asking, mono_time now) const
+{
+    auto const peer = zone_peers_.find(asking.sender);
+    if (!asking.answer_wanted || peer == zone_peers_.end()) {
+        return {};
+    }
+    host_report const& known = peer->second.report;
+    bool const same = std::any_of(
+        asking.reports.begin(), asking.reports.end(), [&known](host_report const& each) {
+            return each.name == known.name && each.incarnation == known.incarnation;
+        });
+    peer_state const state = state_of(peer->second, now);
+    bool const reported_to = state == peer_state::alive || state == peer_state::silent;
+    return same && reported_to ? std::vector{asking.sender_ip} : std::vector<std::string>();
+}
+
+/** @param unheard result of unheard_links(), from before @p asking was merged. */
+outgoing_host_message host_view::answer_to(gossip const& asking, std::vector<std::string> unheard,
+                                           mono_time now)
+{
+    if (unheard.empty()) {
+        return {{asking.sender_ip}, full_gossip(now, false)};
+    }
+    // Many hosts may ask at once after a pause of this one.
+    return {{asking.sender_ip},
+            gossip{self_.name, self_.ip, {self_}, {}, false},
+            replace_connections(std::move(unheard), now)};
+}
+
+/** @return those of @p ips to which the connection is to be replaced now. */
+std::vector<std::string> host_view::replace_connections(std::vector<std::string> ips, mono_time now)
+{
+    std::erase_if(replaced_at_,
+                  [now](auto const& item) { return now - item.second >= min_connection_age; });
+    std::erase_if(ips, [this, now](std::string const& ip) {
+        return !replaced_at_.try_emplace(ip, now).second;
+    });
+    return ips;
+}
+
 } // namespace cove
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -283,6 +283,8 @@
     if (ticks_ % discovery_interval_ticks == 0) {
         send_discovery(out, now);
     }
+    ask_late_hosts(out, now);
+    last_tick_ = now;
     ++ticks_;
     return out;
 }
@@ -369,6 +371,7 @@
 
 host_effects host_view::receive(gossip const& message, mono_time now)
 {
+    auto unheard = unheard_links(message, now);
     seeds_.erase(message.sender_ip);
     bool from_zone_peer = zone_peers_.contains(message.sender);
     for (host_report const& report : message.reports) {
@@ -384,7 +387,7 @@
     if (!message.answer_wanted || message.sender_ip.empty() || message.sender == self_.name) {
         return {};
     }
-    return {{{message.sender_ip}, full_gossip(now, false)}};
+    return {answer_to(message, std::move(unheard), now)};
 }
 
 /** @return whether each zone peer and each other zone is alive, in the order of their names. */
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -13,6 +13,9 @@
 struct outgoing_host_message {
     std::vector<std::string> ips;
     host_message message;
+    /// Hosts that may hear nothing of this one although their end of the connection acknowledges;
+    /// this message and later ones go to them over new connections.
+    std::vector<std::string> reconnect = {};
 };
 
 using host_effects = std::vector<outgoing_host_message>;
@@ -32,6 +35,7 @@
     mono_time last_heard{};    ///< when a newer report was last received
     bool has_reported = false; ///< false while only the address is known and no report was received
     mono_time known_since{};   ///< when this address was first received
+    mono_time asked{};         ///< when it was last asked for a report, since it was last heard
 };
 
 /** What this host knows of another zone. */
@@ -77,6 +81,10 @@
  * zone's roster only for some rounds after a change and in periodic refreshes; a status without a
  * roster keeps the hosts of the last roster alive. The traffic of a host therefore grows with the
  * number of zones and not with the number of hosts.
+ *
+ * Messages are not acknowledged, so a sender does not see that they are lost on a connection whose
+ * other end still acknowledges at TCP. The receiver does: it asks a zone peer whose reports cease,
+ * and the one that is asked, though it has sent reports, replaces its connection to the asker.
  */
 class host_view {
 public:
@@ -172,6 +180,12 @@
     void gossip_to_other_zones(host_effects& out, mono_time now);
     void greet_new_contacts(host_effects& out, mono_time now);
     void send_discovery(host_effects& out, mono_time now);
+    [[nodiscard]] bool is_late(zone_peer const& host, mono_time now) const;
+    void ask_late_hosts(host_effects& out, mono_time now);
+    [[nodiscard]] std::vector<std::string> unheard_links(gossip const& asking, mono_time now) const;
+    outgoing_host_message answer_to(gossip const& asking, std::vector<std::string> unheard,
+                                    mono_time now);
+    std::vector<std::string> replace_connections(std::vector<std::string> ips, mono_time now);
     void merge_report(host_report const& report, mono_time now);
     void merge_zone_status(zone_status const& status, bool relay, mono_time now);
 
@@ -183,10 +197,12 @@
     std::map<zone_id, remote_zone> remote_zones_; ///< without this zone
     std::map<node_id, remote_host> remote_hosts_;
     std::set<std::string> seeds_; ///< IPs from which no message or report was received yet
+    std::map<std::string, mono_time> replaced_at_;     ///< connections replaced lately, by IP
     std::map<zone_id, zone_status> statuses_to_relay_; ///< received since the last tick
     std::vector<roster_host> last_sent_roster_;        ///< of this zone
     std::uint64_t roster_rounds_left_ = 0; ///< rounds between zones that still send the roster
     std::uint64_t ticks_ = 0;
+    mono_time last_tick_{};
     std::vector<roster_host> serving_; ///< result of serving()
     std::uint64_t serving_version_ = 0;
     bool serving_changed_ = true;        ///< a host has joined, left or changed
--- a/src/peer/loop_transport.h
+++ b/src/peer/loop_transport.h
@@ -38,6 +38,9 @@
     /** Sends @p bytes to the host at @p ip. */
     void send(std::string const& ip, std::string const& bytes);
 
+    /** Closes the connection to the host at @p ip; the next message goes over a new one. */
+    void disconnect(std::string const& ip) { peers_.erase(ip); }
+
     /** @return messages that were not sent because no connection could be opened. */
     [[nodiscard]] std::uint64_t unsent_messages() const { return unsent_messages_; }
 
--- a/tests/peer/host_fleet.h
+++ b/tests/peer/host_fleet.h
@@ -66,13 +66,17 @@
     void deliver(std::string const& from, host_effects const& effects)
     {
         for (outgoing_host_message const& effect : effects) {
+            for (std::string const& ip : effect.reconnect) {
+                ++replaced_connections;
+                mute.erase({from, ip});
+            }
             for (std::string const& ip : effect.ips) {
                 ++sent_messages[from];
                 sent_bytes += encode_host_message(effect.message).size();
                 auto const to = hosts.find(ip);
                 bool const lost = dead.contains(ip) ||
                                   partitioned.contains(from) != partitioned.contains(ip) ||
-                                  on_silent_link(from, ip);
+                                  mute.contains({from, ip}) || on_silent_link(from, ip);
                 if (to != hosts.end() && !lost) {
                     deliver(ip, to->second.receive(std::get<gossip>(effect.message), now));
                 }
@@ -92,11 +96,25 @@
         return out;
     }
 
+    /** @return the number of the last report that host @p to has from its zone peer @p from. */
+    std::uint64_t last_report(std::string const& to, std::string const& from)
+    {
+        for (host_report const* const each : hosts.at("ip-" + to).zone_hosts(now)) {
+            if (each->name == node_id(from)) {
+                return each->sequence;
+            }
+        }
+        return 0;
+    }
+
     std::map<std::string, host_view> hosts;
     std::set<std::string> dead;
     std::set<std::string> partitioned;
+    /// Connections, from sender to receiver, on which messages are acknowledged and lost.
+    std::set<std::pair<std::string, std::string>> mute;
     std::map<std::string, int> sent_messages;
     std::size_t sent_bytes = 0;
+    int replaced_connections = 0;
     mono_time now = start;
 
 private:
--- a/tests/peer/loop_transport_test.cpp
+++ b/tests/peer/loop_transport_test.cpp
@@ -2,7 +2,9 @@
 
 #include "core/time_type.h"
 #include "peer/loop_transport.h"
+#include "support/cut_link.h"
 #include "support/free_port.h"
+#include "support/silent_link.h"
 
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
@@ -99,5 +101,50 @@
     EXPECT_GE(received, 2);
 }
 
+/** A sender with a link to the receiver that can be cut. */
+class cut_message_link : public message_burst {
+protected:
+    /** Sends a message each tick. @return the time until one is received, at most @p limit. */
+    milliseconds time_to_next_message()
+    {
+        int const known = received;
+        mono_time const begin = read_clocks().mono;
+        while (received == known && read_clocks().mono - begin < limit) {
+            host.send("127.0.0.1", "message");
+            loop.restart();
+            loop.run_for(milliseconds{100});
+        }
+        return std::chrono::duration_cast<milliseconds>(read_clocks().mono - begin);
+    }
+
+    static constexpr milliseconds contact{3000}; ///< the shortest of the deployments
+
+    static int port_of(cut_link const& link)
+    {
+        std::string const address = link.address();
+        return std::stoi(address.substr(address.find(':') + 1));
+    }
+
+    cut_link link{loop,
+                  {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}};
+    loop_transport host{loop, port_of(link), [](std::string const&) {}};
+};
+
+TEST_F(cut_message_link, that_drops_all_packets_is_replaced_within_contact)
+{
+    ASSERT_LT(time_to_next_message(), contact);
+    ASSERT_GE(silence_connections_to(port_of(link)), 1);
+    EXPECT_LT(time_to_next_message(), contact);
+}
+
+TEST_F(cut_message_link, that_is_mute_carries_messages_again_after_a_disconnect)
+{
+    ASSERT_LT(time_to_next_message(), contact);
+    link.cut(link_cut::mute);
+    EXPECT_GE(time_to_next_message(), limit);
+    host.disconnect("127.0.0.1");
+    EXPECT_LT(time_to_next_message(), milliseconds{1000});
+}
+
 } // namespace
 } // namespace cove
