Replace connections between zones that acknowledge and lose statuses

A speaker sends the status of its zone to one host of each other zone, every second round to the same one. When that connection acknowledges and loses what is sent, the other zone gets fewer statuses than it needs, for as long as the connection lives: it drops the zone from look-ups and takes its configuration versions late.

The speaker of a zone now asks the one of a zone of which two rounds have brought no status, over new connections to that zone. The one that is asked is sending statuses to the asker's zone, takes the question as proof that they are lost, replaces its connections to that zone and answers with a status without roster. The questions come before the other messages of a tick, so that these use the new connections.

--- a/src/peer/host_discovery.cpp
+++ b/src/peer/host_discovery.cpp
@@ -15,6 +15,8 @@
 /// A zone peer is asked for a report when none has arrived for this long, or for two rounds of
 /// reports in a large zone.
 constexpr milliseconds late_report_timeout{1500};
+/// The speaker of a zone is asked for a status when two rounds (1 s each) have brought none.
+constexpr milliseconds late_status_timeout{2250};
 /// A host that is asked has answered, or the new connection has failed, by then.
 constexpr milliseconds ask_interval{1000};
 /// Time between two ticks from which on this host has been paused.
@@ -102,7 +104,10 @@
     return host.has_reported && !host.report.leaving && silence >= timeout && silence < ask_period;
 }
 
-/** Asks hosts that are late for an answer, over new connections: both ways may lose messages. */
+/**
+ * Asks zone peers whose reports have ceased, and the speakers of zones whose statuses have, over
+ * new connections: both ways may lose messages.
+ */
 void host_view::ask_late_hosts(host_effects& out, mono_time now)
 {
     if (now - last_tick_ >= longest_tick) {
@@ -119,26 +124,72 @@
         out.push_back(
             {ips, gossip{self_.name, self_.ip, {self_}, {}, true}, replace_connections(ips, now)});
     }
+    if (is_speaker(now)) {
+        ask_late_zones(out, now);
+    }
+}
+
+void host_view::ask_late_zones(host_effects& out, mono_time now)
+{
+    std::vector<std::string> speakers;
+    std::vector<std::string> links;
+    for (auto& [name, zone] : remote_zones_) {
+        auto const silence = now - zone.last_heard;
+        bool const late = silence >= late_status_timeout && silence < ask_period;
+        if (late && now - zone.asked >= ask_interval) {
+            zone.asked = now;
+            speakers.push_back(zone.status.ip);
+            auto const ips = links_to(zone);
+            links.insert(links.end(), ips.begin(), ips.end());
+        }
+    }
+    if (!speakers.empty()) {
+        out.push_back({std::move(speakers),
+                       gossip{self_.name, self_.ip, {}, {own_status(now, true)}, true},
+                       replace_connections(std::move(links), now)});
+    }
+}
+
+/** @return the IPs to which this host may have connections when it speaks to @p zone. */
+std::vector<std::string> host_view::links_to(remote_zone const& zone) const
+{
+    std::vector<std::string> ips{zone.status.ip};
+    for (roster_host const& host : roster_of(zone)) {
+        ips.push_back(host.ip);
+    }
+    return ips;
 }
 
 /**
  * @return the IPs of the hosts to which messages of this host may be lost, as @p asking shows: it
- * comes from a host that gets reports of this one.
+ * comes from a host, or from the speaker of a zone, that is being sent reports or statuses.
  */
 std::vector<std::string> host_view::unheard_links(gossip const& asking, mono_time now) const
 {
-    auto const peer = zone_peers_.find(asking.sender);
-    if (!asking.answer_wanted || peer == zone_peers_.end()) {
+    if (!asking.answer_wanted) {
         return {};
     }
-    host_report const& known = peer->second.report;
-    bool const same = std::any_of(
-        asking.reports.begin(), asking.reports.end(), [&known](host_report const& each) {
-            return each.name == known.name && each.incarnation == known.incarnation;
-        });
-    peer_state const state = state_of(peer->second, now);
-    bool const reported_to = state == peer_state::alive || state == peer_state::silent;
-    return same && reported_to ? std::vector{asking.sender_ip} : std::vector<std::string>();
+    for (host_report const& report : asking.reports) {
+        auto const known = zone_peers_.find(report.name);
+        if (report.name != asking.sender || known == zone_peers_.end()) {
+            continue;
+        }
+        peer_state const state = state_of(known->second, now);
+        bool const reported_to = state == peer_state::alive || state == peer_state::silent;
+        if (reported_to && report.incarnation == known->second.report.incarnation) {
+            return {asking.sender_ip};
+        }
+    }
+    for (zone_status const& status : asking.zones) {
+        auto const known = remote_zones_.find(status.zone);
+        if (known == remote_zones_.end() || now - known->second.last_heard >= ask_period ||
+            status.speaker != known->second.status.speaker ||
+            status.incarnation != known->second.status.incarnation) {
+            continue;
+        }
+        return links_to(known->second);
+    }
+    return {};
 }
 
 /** @param unheard result of unheard_links(), from before @p asking was merged. */
@@ -148,10 +199,15 @@
     if (unheard.empty()) {
         return {{asking.sender_ip}, full_gossip(now, false)};
     }
-    // Many hosts may ask at once after a pause of this one.
-    return {{asking.sender_ip},
-            gossip{self_.name, self_.ip, {self_}, {}, false},
-            replace_connections(std::move(unheard), now)};
+    // Many hosts may ask at once after a pause of this one, so that the answer is short.
+    gossip answer{self_.name, self_.ip, {}, {}, false};
+    if (zone_peers_.contains(asking.sender)) {
+        answer.reports.push_back(self_);
+    }
+    else {
+        answer.zones.push_back(own_status(now, false));
+    }
+    return {{asking.sender_ip}, std::move(answer), replace_connections(std::move(unheard), now)};
 }
 
 /** @return those of @p ips to which the connection is to be replaced now. */
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -275,6 +275,7 @@
     host_effects out;
     refresh_self(own);
     count_reporting_peers(now);
+    ask_late_hosts(out, now); // first, so that the other messages use the new connections
     gossip_within_zone(out, now);
     greet_new_contacts(out, now);
     if (ticks_ % zone_gossip_interval_ticks == 0 && is_speaker(now)) {
@@ -283,7 +284,6 @@
     if (ticks_ % discovery_interval_ticks == 0) {
         send_discovery(out, now);
     }
-    ask_late_hosts(out, now);
     last_tick_ = now;
     ++ticks_;
     return out;
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -42,6 +42,7 @@
 struct remote_zone {
     zone_status status;     ///< with the last roster received, also if a later status had none
     mono_time last_heard{}; ///< when a newer status was last received, directly or relayed
+    mono_time asked{};      ///< when its speaker was last asked for a status, since then
 };
 
 /** A host of another zone, known from the platform's store or from a report. */
@@ -84,7 +85,9 @@
  *
  * Messages are not acknowledged, so a sender does not see that they are lost on a connection whose
  * other end still acknowledges at TCP. The receiver does: it asks a zone peer whose reports cease,
- * and the one that is asked, though it has sent reports, replaces its connection to the asker.
+ * and the one that is asked, though it has sent reports, replaces its connection to the asker. In
+ * the same way a speaker asks the one of a zone whose statuses cease, which then replaces its
+ * connections to that zone.
  */
 class host_view {
 public:
@@ -182,6 +185,8 @@
     void send_discovery(host_effects& out, mono_time now);
     [[nodiscard]] bool is_late(zone_peer const& host, mono_time now) const;
     void ask_late_hosts(host_effects& out, mono_time now);
+    void ask_late_zones(host_effects& out, mono_time now);
+    [[nodiscard]] std::vector<std::string> links_to(remote_zone const& zone) const;
     [[nodiscard]] std::vector<std::string> unheard_links(gossip const& asking, mono_time now) const;
     outgoing_host_message answer_to(gossip const& asking, std::vector<std::string> unheard,
                                     mono_time now);
--- a/tests/peer/mute_link_test.cpp
+++ b/tests/peer/mute_link_test.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr milliseconds contact{3000}; ///< the shortest of the deployments
+constexpr int ticks_watched = 80;     ///< 20 s
+constexpr int phases = 8;             ///< ticks of two rounds between zones
 
 /** Hosts of one zone, `a10`, `a11`, …, which know each other; the parameter is their number. */
 class mute_links_in_zone : public testing::TestWithParam<int> {
@@ -104,5 +106,58 @@
 INSTANTIATE_TEST_SUITE_P(zone_of, mute_links_in_zone, testing::Values(3, 33, 53),
                          testing::PrintToStringParamName());
 
+/** Two zones; the parameter is the number of hosts of each. */
+class mute_links_between_zones : public testing::TestWithParam<int> {
+protected:
+    mute_links_between_zones()
+    {
+        for (int i = 1; i <= GetParam(); ++i) {
+            all.add("a" + std::to_string(i), "a");
+            all.add("b" + std::to_string(i), "b");
+        }
+        all.advance(seconds{10});
+    }
+
+    void expect_that_all_hosts_keep_both_zones()
+    {
+        for (int tick = 0; tick < ticks_watched; ++tick) {
+            all.advance(host_view::tick_interval);
+            for (auto& [ip, host] : all.hosts) {
+                EXPECT_EQ(host.zones(all.now).size(), 2U) << ip << " " << tick;
+            }
+        }
+    }
+
+    fleet all;
+};
+
+// RECOVER: a zone whose statuses are lost is left out of look-ups and gets no requests.
+TEST_P(mute_links_between_zones, do_not_hide_a_zone_when_one_link_is_mute)
+{
+    for (int phase = 0; phase < phases; ++phase) {
+        for (int receiver = 1; receiver <= GetParam(); ++receiver) {
+            all.mute = {{"ip-a1", "ip-b" + std::to_string(receiver)}};
+            expect_that_all_hosts_keep_both_zones();
+        }
+        all.advance(host_view::tick_interval);
+    }
+}
+
+TEST_P(mute_links_between_zones, do_not_hide_a_zone_when_all_links_are_mute)
+{
+    for (int phase = 0; phase < phases; ++phase) {
+        for (auto const& [from, host] : all.hosts) {
+            for (auto const& [to, other] : all.hosts) {
+                all.mute.insert({from, to});
+            }
+        }
+        expect_that_all_hosts_keep_both_zones();
+        all.advance(host_view::tick_interval);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(hosts, mute_links_between_zones, testing::Values(1, 2, 5),
+                         testing::PrintToStringParamName());
+
 } // namespace
 } // namespace cove
