--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -26,6 +26,7 @@
                             {"relay_port", free_port()},
                             {"seeds", nlohmann::json::array()},
                             {"store_address", "127.0.0.1:9"},
+                            {"store_silence_max", "3s"},
                             {"heartbeat", "1500ms"},
                             {"drain", "2s"},
                             {"grace", "2s"},
