Count the pause in an answer of the store from its last byte

Part of an answer had come before its connection fell silent. Any byte since the last look put off the end of the call by a full 1.5 s; 2.25 s and 1.5 s exceed contact.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -149,6 +149,7 @@
                                   return;
                               }
                               self->received_ += size;
+                              self->last_received_ = read_clocks().mono;
                               self->account_for_received();
                               if (self->closed_) {
                                   return; // too many bytes of all responses together
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -105,6 +105,9 @@
     /** @return bytes received since the last request was sent. */
     [[nodiscard]] std::uint64_t received() const { return received_; }
 
+    /** @return when bytes were last received; the epoch before that. */
+    [[nodiscard]] mono_time last_received() const { return last_received_; }
+
     /** @return the time it took to establish the connection; zero before that. */
     [[nodiscard]] microseconds connect_time() const { return connect_time_; }
 
@@ -125,8 +128,9 @@
     boost::asio::ip::tcp::socket socket_;
     http_endpoint peer_;
     exchange_limits limits_;
-    boost::beast::flat_buffer buffer_;          ///< bytes received and not yet parsed
-    std::uint64_t received_ = 0;                ///< bytes since the request was sent
+    boost::beast::flat_buffer buffer_; ///< bytes received and not yet parsed
+    std::uint64_t received_ = 0;       ///< bytes since the request was sent
+    mono_time last_received_{};
     std::optional<memory_budget::holder> held_; ///< account of the response under way
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     http_request request_;
--- a/tests/platform/silent_store_test.cpp
+++ b/tests/platform/silent_store_test.cpp
@@ -33,7 +33,7 @@
             return {answer_with(R"({"items":[],"store_revision":10})")};
         }
         ++watches;
-        return {answers_watches ? answer_with(R"({"events":[],"store_revision":11})") : ""};
+        return {answers_watches ? answer_with(R"({"events":[],"store_revision":11})") : unfinished};
     }
 
     void follow()
@@ -67,6 +67,7 @@
     std::unique_ptr<store_client> client;
     std::unique_ptr<follower> subject;
     bool answers_watches = false;
+    std::string unfinished; ///< sent in place of an answer to a watch
     milliseconds silence_max = watch_timing::default_silence_max;
     int watches = 0;
     store_position known;
@@ -87,5 +88,24 @@
     EXPECT_LT(time_until_answered(), contact + drain);
 }
 
+/// Of a first follower: three quarters of contact.
+constexpr milliseconds leader_silence_max{2250};
+
+TEST_F(silent_store, a_watch_of_a_first_follower_whose_answer_is_lost_is_repeated_within_contact)
+{
+    silence_max = leader_silence_max;
+    follow();
+    EXPECT_LT(time_until_answered(), contact);
+}
+
+// CONFIG, DRAIN: bytes of an answer put off the end of its call by 1.5 s.
+TEST_F(silent_store, a_watch_whose_answer_breaks_off_is_repeated_within_contact)
+{
+    silence_max = leader_silence_max;
+    unfinished = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{";
+    follow();
+    EXPECT_LT(time_until_answered(), contact);
+}
+
 } // namespace
 } // namespace cove
