Bound the watch of a new first follower from its start; report no loss for one late answer

A host that became the first follower replaced its watch only if that had longer to go than the bound, though it may have been silent for most of its time already; now it is replaced whenever its own bound is longer. follower_case.replaces_a_watch_that_has_already_taken_longer_than_it_may.

With the short time-out one slow answer counted as a loss of the store, upon which another host lists everything and removals of targets are held. A watch that heard nothing is first repeated on a new connection; the loss is reported if that fails as well. follower_case.does_not_report_a_loss_before_a_second_call_has_failed.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -67,8 +67,7 @@
 {
     timing_.set_silence_max(silence_max);
     bool const watching = call_pending_ && listed_;
-    if (watching &&
-        read_clocks().mono + silence_max < call_started_ + times_.wait + times_.timeout) {
+    if (watching && times_.wait + times_.timeout > silence_max) {
         calls_.abort();
         call_store();
     }
@@ -111,8 +110,9 @@
     };
     if (listed_) {
         // After a failure, an answer without delay tells that the store is back.
-        times_ =
-            reachable_ ? timing_.next() : watch_times{milliseconds{0}, watch_timing::max_timeout};
+        times_ = reachable_ && !unanswered_
+                     ? timing_.next()
+                     : watch_times{milliseconds{0}, watch_timing::max_timeout};
         calls_.watch(at_, times_, done);
     }
     else {
@@ -131,6 +131,7 @@
         std::chrono::duration_cast<milliseconds>(read_clocks().mono - call_started_);
     switch (answer.status) {
     case follow_status::done:
+        unanswered_ = false;
         set_reachable(true, "");
         last_answer_ = read_clocks().mono;
         if (elapsed >= times_.wait) { // else a change ended the wait
@@ -139,17 +140,22 @@
         on_data(answer.at, watched);
         break;
     case follow_status::history_expired:
+        unanswered_ = false;
         listed_ = false;
         call_store();
         break;
-    case follow_status::failed: {
-        // A whole wait without an answer has spared the store calls; a new connection may work.
-        bool const waited = watched && reachable_ && elapsed >= times_.wait + times_.timeout;
+    case follow_status::failed:
+        // A watch that heard nothing in all of its time may only have lost its connection.
+        if (watched && reachable_ && !unanswered_ && elapsed >= times_.wait + times_.timeout) {
+            unanswered_ = true;
+            call_store();
+            break;
+        }
+        unanswered_ = false;
         set_reachable(false, answer.detail);
-        schedule_call(waited ? milliseconds{0} : retry_delays_.next_delay());
+        schedule_call(retry_delays_.next_delay());
         break;
     }
-    }
 }
 
 void follower::on_data(store_position at, bool watched)
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -116,6 +116,7 @@
     read_freshness next_list_ = read_freshness::current;
     bool list_deferred_ = false; ///< the first list call waits for set_active(true)
     bool reachable_ = true;
+    bool unanswered_ = false; ///< the last watch heard nothing in all of its time
     bool call_pending_ = false;
     mono_time last_answer_;
     loop_timers::subscription next_call_ = 0;
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -240,6 +240,31 @@
     EXPECT_EQ(watches, 2);
 }
 
+TEST_F(follower_case, replaces_a_watch_that_has_already_taken_longer_than_it_may)
+{
+    subject.set_silence_max(milliseconds{300});
+    watch_from_40();
+    run_until(
+        loop, [] { return false; }, milliseconds{250});
+    subject.set_silence_max(milliseconds{100});
+    EXPECT_EQ(aborts, 1);
+    EXPECT_EQ(watches, 2);
+}
+
+// Others took the place of a host whose store was slow for one answer.
+TEST_F(follower_case, does_not_report_a_loss_before_a_second_call_has_failed)
+{
+    subject.set_silence_max(milliseconds{60});
+    watch_from_40();
+    run_until(
+        loop, [] { return false; }, milliseconds{70});
+    reply(follow_status::failed);
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(lost, 0);
+    reply(follow_status::failed);
+    EXPECT_EQ(lost, 1);
+}
+
 TEST_F(follower_case, does_not_take_the_time_until_a_change_for_a_slow_answer)
 {
     watch_from_40();
