--- a/src/follow/lag_detector.cpp
+++ b/src/follow/lag_detector.cpp
@@ -19,10 +19,14 @@
         missing_versions_ = newest;
         missing_since_ = now;
     }
-    if (now - missing_since_ < pull_delay || now - last_pull_ < min_pull_interval) {
+    // Targets change all the time; a configuration must not wait for the pulls that they cause.
+    bool const answer_may_come =
+        now - last_pull_ < min_pull_interval && newest.config <= pulled_config_;
+    if (now - missing_since_ < pull_delay || answer_may_come) {
         return false;
     }
     last_pull_ = now;
+    pulled_config_ = newest.config;
     return true;
 }
 
--- a/src/follow/lag_detector.h
+++ b/src/follow/lag_detector.h
@@ -32,6 +32,7 @@
     std::optional<known_versions> missing_versions_; ///< versions that a peer had at missing_since_
     mono_time missing_since_{};
     mono_time last_pull_{};
+    generation pulled_config_; ///< version that the last pull asked for
 };
 
 } // namespace cove
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -354,6 +354,22 @@
 constexpr milliseconds pull_delay{600};
 constexpr milliseconds tick{250};
 
+// CONFIG: changes of targets took the pulls of a zone without the store.
+TEST(lag_detector, pulls_a_new_configuration_although_targets_were_just_pulled)
+{
+    lag_detector lag;
+    known_versions const own{generation(1), position(10), position(5)};
+    known_versions peer{generation(1), position(12), position(5)};
+    mono_time now{seconds{100}};
+    EXPECT_TRUE(lag.should_pull(own, peer, milliseconds{0}, now));
+    now += tick;
+    EXPECT_FALSE(lag.should_pull(own, peer, milliseconds{0}, now));
+    peer.config = generation(2);
+    EXPECT_TRUE(lag.should_pull(own, peer, milliseconds{0}, now));
+    now += tick;
+    EXPECT_FALSE(lag.should_pull(own, peer, milliseconds{0}, now)); // its answer may come
+}
+
 TEST(lag_detector, pulls_a_change_that_stays_missing)
 {
     lag_detector lag;
