Send no status between zones for a new position of the store alone

Only a new configuration brings the next status forward, and extra messages don't count as rounds that carry a changed roster.

--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -260,8 +260,9 @@
     bool const refresh = ticks_ / zone_gossip_interval_ticks % roster_refresh_rounds == 0;
     gossip const message{
         self_.name, self_.ip, {}, {own_status(now, refresh || roster_rounds_left_ > 0)}, false};
-    roster_rounds_left_ -= roster_rounds_left_ > 0 ? 1 : 0;
-    told_versions_ = message.zones.front().versions;
+    bool const round_due = ticks_ % zone_gossip_interval_ticks == 0;
+    roster_rounds_left_ -= round_due && roster_rounds_left_ > 0 ? 1 : 0;
+    told_config_ = message.zones.front().versions.config;
     std::vector<std::string> ips;
     for (auto const& [name, zone] : remote_zones_) {
         // Also to zones that are considered dead, for the same reason.
@@ -272,14 +273,12 @@
 }
 
 /**
- * @return whether this zone has a configuration or evacuations that its last status lacked. They
- * change seldom, and a zone that the store does not serve learns of them by that status alone.
+ * @return whether this zone has a configuration that its last status lacked. It changes seldom, and
+ * a zone that the store does not serve learns of it by that status alone.
  */
-bool host_view::has_untold_changes(mono_time now) const
+bool host_view::has_untold_config(mono_time now) const
 {
-    known_versions const versions = own_status(now, false).versions;
-    return versions.config > told_versions_.config ||
-           versions.evacuations > told_versions_.evacuations;
+    return own_status(now, false).versions.config > told_config_;
 }
 
 host_effects host_view::tick(local_host_state const& own, mono_time now)
@@ -291,7 +290,7 @@
     gossip_within_zone(out, now);
     greet_new_contacts(out, now);
     bool const round_due = ticks_ % zone_gossip_interval_ticks == 0;
-    if (is_speaker(now) && (round_due || has_untold_changes(now))) {
+    if (is_speaker(now) && (round_due || has_untold_config(now))) {
         gossip_to_other_zones(out, now);
     }
     if (ticks_ % discovery_interval_ticks == 0) {
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -183,7 +183,7 @@
     void gossip_within_zone(host_effects& out, mono_time now);
     roster_host const& choose_receiver(std::vector<roster_host> const& hosts);
     void gossip_to_other_zones(host_effects& out, mono_time now);
-    [[nodiscard]] bool has_untold_changes(mono_time now) const;
+    [[nodiscard]] bool has_untold_config(mono_time now) const;
     void greet_new_contacts(host_effects& out, mono_time now);
     void send_discovery(host_effects& out, mono_time now);
     [[nodiscard]] bool is_late(zone_peer const& host, mono_time now) const;
@@ -208,7 +208,7 @@
     std::map<std::string, mono_time> replaced_at_;     ///< connections replaced lately, by IP
     std::map<zone_id, zone_status> statuses_to_relay_; ///< received since the last tick
     std::vector<roster_host> last_sent_roster_;        ///< of this zone
-    known_versions told_versions_;         ///< of this zone, in the last message to other zones
+    generation told_config_;               ///< of this zone, in the last message to other zones
     std::uint64_t roster_rounds_left_ = 0; ///< rounds between zones that still send the roster
     std::uint64_t ticks_ = 0;
     mono_time last_tick_{};
