Close idle connections to a target when one of them leaves an answer overdue

When the open connections to a target fall silent together (packets dropped, or mute while the other end acknowledges), each idle one took a request that may run once and cost it: 504 at its deadline.

A connection that has carried others and leaves an answer overdue now takes with it the idle ones on which nothing has arrived since; relays the same. Nothing is closed for a client that leaves, a move or a stop, nor for an overdue answer on a new connection.

The red test silent_target.a_request_is_not_sent_on_a_connection_that_fell_silent_while_idle still fails: the first request on a silent connection is lost.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -276,6 +276,8 @@
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(names_.expected_target, effect.target.value);
     message.prepare_payload();
+    open.pool = &pool_;
+    open.peer = effect.target;
     open.connection =
         pool_.acquire(effect.target, effect.address, effect.idempotent, open.attempt_id);
     bool const fresh = !open.connection->connected();
@@ -321,8 +323,9 @@
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(client_field, open.client);
     message.prepare_payload();
-    open.connection =
-        relay_pool_.acquire(target_id(effect.address), effect.address, effect.idempotent, "");
+    open.pool = &relay_pool_;
+    open.peer = target_id(effect.address);
+    open.connection = relay_pool_.acquire(open.peer, effect.address, effect.idempotent, "");
     if (!open.connection->connected()) {
         limit_connect_time(open.connection);
     }
@@ -515,10 +518,17 @@
 void request_forwarder::execute(cancel_attempt const& effect)
 {
     auto const found = open_.find(effect.id);
-    if (found != open_.end() && found->second.connection) {
-        found->second.connection->close();
-        found->second.connection.reset();
+    if (found == open_.end() || !found->second.connection) {
+        return;
+    }
+    open_request& open = found->second;
+    if (effect.overdue) {
+        open.pool->give_up(open.peer, open.connection);
+    }
+    else {
+        open.connection->close();
     }
+    open.connection.reset();
 }
 
 void request_forwarder::execute(deliver_answer const& effect)
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -110,6 +110,8 @@
         mono_time arrived;
         http_response response; ///< to the last attempt
         target_connection_pool::connection connection;
+        target_connection_pool* pool = nullptr; ///< of the connection
+        target_id peer;                         ///< of the connection, as the pool names it
     };
 
     void feed(traffic_event const& event);
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -59,6 +59,7 @@
         auto const longest =
             std::chrono::duration<double, std::milli>(idle_limit(*last)) * fraction;
         if (now - last->idle_since < longest && last->usable()) {
+            last->taken = now;
             return last;
         }
         last->close();
@@ -76,6 +77,22 @@
     idle_[target].push_back(std::move(released));
 }
 
+void target_connection_pool::give_up(target_id const& target, connection const& overdue)
+{
+    overdue->close();
+    auto const idle = idle_.find(target);
+    if (overdue->idle_since == mono_time{} || idle == idle_.end()) {
+        return;
+    }
+    std::erase_if(idle->second, [&overdue](connection const& each) {
+        bool const suspicious = each->idle_since <= overdue->taken;
+        if (suspicious) {
+            each->close();
+        }
+        return suspicious;
+    });
+}
+
 void target_connection_pool::probe(target_id const& target, std::string const& address,
                                    std::function<void(probe_result)> const& done)
 {
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -49,6 +49,13 @@
     /** Returns a connection to the pool, or closes it if it cannot be used for another request. */
     void release(target_id const& target, connection released);
 
+    /**
+     * Closes a connection on which an answer is overdue. If it has carried others, the idle ones to
+     * @p target on which nothing has arrived since the request are closed too: they may have fallen
+     * silent as well, and each would cost a request.
+     */
+    void give_up(target_id const& target, connection const& overdue);
+
     /**
      * Tests whether a target still takes connections; one that is established is kept for reuse.
      * @param done called once.
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -110,6 +110,7 @@
 
     // State that the owner keeps with the connection:
     mono_time idle_since{};                ///< when it was last kept for reuse; zero before that
+    mono_time taken{};                     ///< when it was last taken for reuse
     std::vector<std::string> refused_here; ///< ids of the requests that the peer has refused on it
 
 private:
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -465,7 +465,7 @@
     constexpr double late_answer_factor = 2;     // so late, the link may be cut; probes tell
     constexpr double late_answer_floor_ms = 250;
     if (now_ >= request.expires + timeout_grace) {
-        effects_.push_back(cancel_attempt{request.id});
+        effects_.push_back(cancel_attempt{request.id, true});
         refuse(request.id, refusal::gave_up, milliseconds{0});
         return;
     }
@@ -510,7 +510,7 @@
         if (!retry_limiter_.take(request.service, hosts_in_total_, now_)) {
             return;
         }
-        effects_.push_back(cancel_attempt{request.id});
+        effects_.push_back(cancel_attempt{request.id, true});
         if (auto const found = targets_.find(previous); found != targets_.end()) {
             found->second.attempt_cancelled(request.id);
         }
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -20,6 +20,7 @@
 /** Cancel the attempt in progress and discard its result. */
 struct cancel_attempt {
     request_id id;
+    bool overdue = false; ///< because its answer is
 };
 
 /** Forward the answer of the target to the client. */
--- a/tests/host/cut_off_host_test.cpp
+++ b/tests/host/cut_off_host_test.cpp
@@ -148,12 +148,13 @@
 
 std::string name_of_cut(testing::TestParamInfo<link_cut> const& info)
 {
-    std::array<char const*, 3> const names{"silent", "reset", "closed"};
+    std::array<char const*, 4> const names{"silent", "reset", "closed", "mute"};
     return names.at(static_cast<std::size_t>(info.param));
 }
 
 INSTANTIATE_TEST_SUITE_P(cuts, cut_off_case,
-                         testing::Values(link_cut::silent, link_cut::reset, link_cut::closed),
+                         testing::Values(link_cut::silent, link_cut::reset, link_cut::closed,
+                                         link_cut::mute),
                          name_of_cut);
 
 INSTANTIATE_TEST_SUITE_P(cuts, quiet_host_case, testing::Values(link_cut::silent, link_cut::reset),
