Ask the next speaker of a zone too when its statuses cease

When the speaker of a zone ends and the host that follows it is mute to another zone, that zone dropped it from look-ups until a discovery message reached the right host.

The question goes to the last speaker and to the first serving host beside it, which speaks when the last one has ended.

--- a/src/peer/host_discovery.cpp
+++ b/src/peer/host_discovery.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds late_report_timeout{1500};
 /// The speaker of a zone is asked for a status when two rounds (1 s each) have brought none.
 constexpr milliseconds late_status_timeout{2250};
+/// Hosts of a zone that are asked: the speaker, and the one that follows if the speaker has ended.
+constexpr std::size_t asked_per_zone = 2;
 /// A host that is asked has answered, or the new connection has failed, by then.
 constexpr milliseconds ask_interval{1000};
 /// Time between two ticks from which on this host has been paused.
@@ -138,8 +140,10 @@
         bool const late = silence >= late_status_timeout && silence < ask_period;
         if (late && now - zone.asked >= ask_interval) {
             zone.asked = now;
-            speakers.push_back(zone.status.ip);
-            auto const ips = links_to(zone);
+            auto const ips = links_to(zone); // the speaker, then all serving hosts by name
+            auto const asked = std::min(ips.size(), asked_per_zone);
+            speakers.insert(speakers.end(), ips.begin(),
+                            ips.begin() + static_cast<std::ptrdiff_t>(asked));
             links.insert(links.end(), ips.begin(), ips.end());
         }
     }
@@ -155,7 +159,9 @@
 {
     std::vector<std::string> ips{zone.status.ip};
     for (roster_host const& host : roster_of(zone)) {
-        ips.push_back(host.ip);
+        if (host.ip != zone.status.ip) {
+            ips.push_back(host.ip);
+        }
     }
     return ips;
 }
--- a/tests/peer/mute_link_test.cpp
+++ b/tests/peer/mute_link_test.cpp
@@ -159,5 +159,26 @@
 INSTANTIATE_TEST_SUITE_P(hosts, mute_links_between_zones, testing::Values(1, 2, 5),
                          testing::PrintToStringParamName());
 
+/** The speaker of a zone has ended, and the one that follows it is mute to the other zone. */
+class mute_links_of_next_speaker : public mute_links_between_zones {};
+
+TEST_P(mute_links_of_next_speaker, do_not_hide_a_zone)
+{
+    all.dead = {"ip-a1"};
+    for (auto const& [to, other] : all.hosts) {
+        all.mute.insert({"ip-a2", to});
+    }
+    for (int tick = 0; tick < ticks_watched; ++tick) {
+        all.advance(host_view::tick_interval);
+        for (int i = 1; i <= GetParam(); ++i) {
+            std::string const name = "ip-b" + std::to_string(i);
+            EXPECT_EQ(all.hosts.at(name).zones(all.now).size(), 2U) << name << " " << tick;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(hosts, mute_links_of_next_speaker, testing::Values(2, 5),
+                         testing::PrintToStringParamName());
+
 } // namespace
 } // namespace cove
