Answer a TRACE request with content 400 instead of ending the process

Callers: one TRACE request with a body ended the host with all requests that it held, on the clients' port and on the port for relayed requests. Cause: the library's prepare_payload() throws "invalid request body" for it while the request is made for a target, and nothing on the loop catches that.

RFC 9110 forbids content in a TRACE request; the server now answers 400 when it has read the head, and closes.

Before: the three cases of trace_with_content fail with that exception; after: 3 of 3 pass, http_test 30 of 30.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -121,6 +121,11 @@
         reject(http::status::not_implemented);
         return;
     }
+    bool const has_content = parser_->chunked() || parser_->content_length().value_or(0) > 0;
+    if (parser_->get().method() == http::verb::trace && has_content) {
+        reject(http::status::bad_request); // RFC 9110, 9.3.8
+        return;
+    }
     if (expects_continue(parser_->get()) && !parser_->is_done()) {
         boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
                                  [self = shared_from_this()](error_code, std::size_t) {
