Let a request whose handling fails cost itself alone

Callers: an exception out of the handling of one request (for example a target whose id is longer than the library takes as a field) left the event loop and ended the host with all that it held.

The forwarder now catches what escapes from carrying out an effect that concerns a request: the request is removed from the reducer with its slot and its connection, its client gets 500, which promises nothing, a line request_failed names it and cove_failed_requests counts it. Not covered: exceptions out of the reducer itself and out of the handlers of look-ups, readiness, the store and peers.

Before: failing_request.costs_no_other_request_and_no_slot fails with "field value too large"; after: passes, 20 requests get 500 and the target serves the next one.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -691,6 +691,8 @@
     gauge("suspected_requests", forwarder_.suspected_requests());
     out += "# TYPE cove_blocked_requests counter\ncove_blocked_requests " +
            std::to_string(forwarder_.blocked_requests()) + "\n";
+    out += "# TYPE cove_failed_requests counter\ncove_failed_requests " +
+           std::to_string(forwarder_.failed_requests()) + "\n";
     out += "# TYPE cove_bytes_to_peers counter\n";
     for (auto const& [kind, bytes] : bytes_to_peers_) {
         out += "cove_bytes_to_peers{message=\"" + kind + "\"} " + std::to_string(bytes) + "\n";
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -148,6 +148,7 @@
 {
     perform(event);
     drop_departed();
+    drop_failed();
 }
 
 void request_forwarder::perform(traffic_event const& event)
@@ -155,12 +156,52 @@
     performing_ = true;
     monitor_.measure(kind_of(event), [&] {
         for (traffic_effect const& effect : traffic_.reduce(event, read_clocks().mono)) {
-            std::visit([this](auto const& what) { execute(what); }, effect);
+            std::visit([this](auto const& what) { execute_guarded(what); }, effect);
         }
     });
     performing_ = false;
 }
 
+/** Executes @p effect; an exception costs only the request that it concerns. */
+template <class Effect>
+void request_forwarder::execute_guarded(Effect const& effect)
+{
+    if constexpr (requires { effect.id; }) {
+        try {
+            execute(effect);
+        }
+        catch (std::exception const& error) {
+            ++failed_requests_;
+            auto const found = open_.find(effect.id);
+            log_.event("request_failed",
+                       {{"request", found == open_.end() ? "" : found->second.attempt_id},
+                        {"detail", error.what()}},
+                       read_clocks().mono);
+            failed_.push_back(effect.id);
+        }
+    }
+    else {
+        execute(effect);
+    }
+}
+
+/** Ends the requests whose handling has failed, once the current effects are done. */
+void request_forwarder::drop_failed()
+{
+    while (!performing_ && !failed_.empty()) {
+        request_id const id = failed_.back();
+        failed_.pop_back();
+        perform(client_disconnected{id, true}); // frees its slot, wherever it is
+        if (auto const found = open_.find(id); found != open_.end()) {
+            record_outcome(found->second, "host_failed");
+            open_.erase(found);
+        }
+        bool const relayed = (id.value & relayed_id_bit) != 0;
+        respond(relayed ? *peers_ : *clients_, call_id(id.value & ~relayed_id_bit),
+                http::status::internal_server_error, milliseconds{0}); // it may have run
+    }
+}
+
 void request_forwarder::on_request(call_id call, http_request request)
 {
     open_request open;
@@ -233,6 +274,7 @@
         found != open_.end() && found->second.connection && !found->second.connection->sending();
     drop(id, unsent);
     drop_departed();
+    drop_failed();
 }
 
 /** Ends the requests whose clients were found to have left, once the current effects are done. */
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -91,6 +91,7 @@
     [[nodiscard]] std::uint64_t relayed_requests() const { return relayed_requests_; }
     [[nodiscard]] std::uint64_t departed_requests() const { return departed_requests_; }
     [[nodiscard]] std::uint64_t blocked_requests() const { return blocked_requests_; }
+    [[nodiscard]] std::uint64_t failed_requests() const { return failed_requests_; }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] std::size_t queued_requests() const { return traffic_.queued_requests(); }
     [[nodiscard]] std::uint64_t ranked_requests() const { return traffic_.ranked_requests(); }
@@ -115,6 +116,9 @@
     void feed(traffic_event const& event);
     void perform(traffic_event const& event);
     void drop_departed();
+    template <class Effect>
+    void execute_guarded(Effect const& effect);
+    void drop_failed();
     void execute(send_attempt const& effect);
     void execute(cancel_attempt const& effect);
     void execute(deliver_answer const& effect);
@@ -152,6 +156,7 @@
     std::unique_ptr<route_table> routes_;
     std::unordered_map<request_id, open_request> open_;
     std::vector<request_id> departed_; ///< found without client when they were to be sent
+    std::vector<request_id> failed_;   ///< their handling has ended with an exception
     bool performing_ = false;
     latency_metrics metrics_;
     http_server* clients_ = nullptr;
@@ -162,6 +167,7 @@
     std::uint64_t blocked_requests_ = 0;  ///< answered as blocked so far
     std::uint64_t relayed_requests_ = 0;  ///< sent to other hosts so far
     std::uint64_t departed_requests_ = 0; ///< not sent, as their clients had left
+    std::uint64_t failed_requests_ = 0;   ///< answered 500, as their handling failed
 };
 
 } // namespace cove
--- a/tests/host/failing_request_test.cpp
+++ b/tests/host/failing_request_test.cpp
@@ -53,5 +53,23 @@
                     trace_case{"relayed", "Content-Length: 3\r\n\r\nabc", true}),
     [](auto const& info) { return info.param.name; });
 
+TEST_F(failing_request, costs_no_other_request_and_no_slot)
+{
+    constexpr std::size_t too_long_for_a_field = 70'000;
+    constexpr int requests = 20; // more than the target has slots
+    auto entry = desk_targets({&target})[0];
+    entry.id = target_id(std::string(too_long_for_a_field, 't'));
+    store.targets_listed({{entry}, position(1)});
+    for (int i = 0; i < requests; ++i) {
+        EXPECT_EQ(status("/a/1"), 500U);
+    }
+    EXPECT_EQ(target.request_heads.size(), 0U);
+    http_request request(boost::beast::http::verb::get, "/metrics", 11);
+    auto const metrics = exchange_once(loop, metrics_address, std::move(request)).response.body();
+    EXPECT_NE(metrics.find("\ncove_failed_requests 20\n"), std::string::npos);
+    list({&target}, 2);
+    EXPECT_EQ(status("/a/2"), 200U);
+}
+
 } // namespace
 } // namespace cove
