Take the connections behind one that could not be accepted

A host whose listener reports a connection that its client ended (ECONNABORTED, EPROTO) took no further connection until the next one came, and then only one. With more clients in the queue than can be served before they give up, it would take none for good and still say that it is ready.

Cause: the socket library hides these errors and waits for the next edge, although more connections are in the queue. Other errors that concern one connection waited 50 ms each.

Lack of descriptors still waits 50 ms.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -133,7 +133,10 @@
                     forwarder_.on_request(call, std::move(request));
                 },
                 [this](call_id call) { forwarder_.on_client_disconnected(call); },
-                [this](milliseconds time) { report_unread(time); }}),
+                [this](milliseconds time) { report_unread(time); },
+                [this](std::string const& reason) {
+                    log_.event("accept_failed", {{"reason", reason}}, read_clocks().mono);
+                }}),
       readiness_(
           loop, timers,
           {[this](call_id call, http_request const& request) { answer_readiness(call, request); },
@@ -665,6 +668,8 @@
     out += "# TYPE cove_ranked_requests counter\ncove_ranked_requests " +
            std::to_string(forwarder_.ranked_requests()) + "\n";
     gauge("client_connections", clients_.connections());
+    out += "# TYPE cove_client_accept_errors counter\ncove_client_accept_errors " +
+           std::to_string(clients_.accept_errors()) + "\n";
     update_serving_hosts(now);
     gauge("serving_hosts", directory_hosts_.size());
     gauge("zones_heard", view_.zones(now).size());
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,8 @@
 #include "core/address.h"
 #include "http/server_connection.h"
 
+#include <cerrno>
+
 namespace cove {
 
 using boost::asio::ip::tcp;
@@ -17,6 +19,29 @@
 /// Wait after a failure to accept, for example because no file descriptor is free.
 constexpr milliseconds accept_retry_delay{50};
 
+/** @return whether accepting failed because of the connection taken from the queue, as in
+ * accept(2). */
+bool concerns_one_connection(error_code error)
+{
+    switch (error.value()) {
+    case ECONNABORTED:
+    case ECONNRESET:
+    case EHOSTDOWN:
+    case EHOSTUNREACH:
+    case ENETDOWN:
+    case ENETUNREACH:
+    case ENONET:
+    case ENOPROTOOPT:
+    case EOPNOTSUPP:
+    case EPERM:
+    case EPROTO:
+    case ETIMEDOUT:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 http_server::http_server(boost::asio::io_context& loop, loop_timers& timers, server_hooks hooks)
@@ -47,6 +72,10 @@
     if (!error) {
         acceptor_.bind(endpoint, error);
     }
+    if (!error) {
+        // Without it, a connection that its client ended first stops the queue until the next one.
+        acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true), error);
+    }
     if (!error) {
         acceptor_.listen(listen_backlog, error);
     }
@@ -65,7 +94,7 @@
             return;
         }
         if (error) {
-            timers_.once(read_clocks().mono + accept_retry_delay, [this] { accept(); });
+            on_accept_error(error);
             return;
         }
         auto connection = std::make_shared<server_connection>(*this, std::move(socket));
@@ -75,6 +104,19 @@
     });
 }
 
+void http_server::on_accept_error(error_code error)
+{
+    ++accept_errors_;
+    if (hooks_.accept_failed) {
+        hooks_.accept_failed(error.message());
+    }
+    if (concerns_one_connection(error)) {
+        accept();
+        return;
+    }
+    timers_.once(read_clocks().mono + accept_retry_delay, [this] { accept(); });
+}
+
 void http_server::respond(call_id call, http_response response)
 {
     auto const found = calls_.find(call);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -34,6 +34,8 @@
     std::function<void(call_id)> client_disconnected;
     /// A request was read; its last bytes had been received this long before. May be empty.
     std::function<void(milliseconds)> unread = nullptr;
+    /// A connection could not be accepted, for this reason. May be empty.
+    std::function<void(std::string const&)> accept_failed = nullptr;
 };
 
 class server_connection;
@@ -72,6 +74,9 @@
     /** @return the number of open connections. */
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    /** @return the number of failures to accept a connection so far. */
+    [[nodiscard]] std::uint64_t accept_errors() const { return accept_errors_; }
+
     /** @return the IP of the client that made @p call; empty if it has disconnected. */
     [[nodiscard]] std::string client_ip(call_id call) const;
 
@@ -82,6 +87,7 @@
     friend class server_connection;
 
     void accept();
+    void on_accept_error(boost::system::error_code error);
     void close_ended();
 
     boost::asio::io_context& loop_;
@@ -92,6 +98,7 @@
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
     std::unordered_map<call_id, server_connection*> calls_;
     std::uint64_t next_call_ = 1;
+    std::uint64_t accept_errors_ = 0;
     loop_timers::subscription end_check_ = 0;
     bool closing_ = false;
 };
