--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -18,8 +18,6 @@
 constexpr milliseconds end_check_interval{250};
 /// Wait after a failure to accept, for example because no file descriptor is free.
 constexpr milliseconds accept_retry_delay{50};
-/// Connections taken in one turn of the loop; between two turns, the open ones are served.
-constexpr int accepts_per_turn = 64;
 
 /** @return whether accepting failed because of the connection taken from the queue, as in
  * accept(2). */
@@ -78,9 +76,6 @@
         // Without it, a connection that its client ended first stops the queue until the next one.
         acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true), error);
     }
-    if (!error) {
-        acceptor_.non_blocking(true, error);
-    }
     if (!error) {
         acceptor_.listen(listen_backlog, error);
     }
@@ -102,36 +97,13 @@
             on_accept_error(error);
             return;
         }
-        add_connection(std::move(socket));
-        accept_waiting();
+        auto connection = std::make_shared<server_connection>(*this, std::move(socket));
+        connections_[connection.get()] = connection;
+        connection->start();
+        accept();
     });
 }
 
-/** Takes the connections that wait: one a turn of a busy loop is less than clients may open. */
-void http_server::accept_waiting()
-{
-    for (int taken = 1; taken < accepts_per_turn; ++taken) {
-        error_code error;
-        tcp::socket socket = acceptor_.accept(loop_, error);
-        if (error == boost::asio::error::would_block) {
-            break;
-        }
-        if (error) {
-            on_accept_error(error);
-            return;
-        }
-        add_connection(std::move(socket));
-    }
-    accept();
-}
-
-void http_server::add_connection(tcp::socket socket)
-{
-    auto connection = std::make_shared<server_connection>(*this, std::move(socket));
-    connections_[connection.get()] = connection;
-    connection->start();
-}
-
 void http_server::on_accept_error(error_code error)
 {
     ++accept_errors_;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -87,8 +87,6 @@
     friend class server_connection;
 
     void accept();
-    void accept_waiting();
-    void add_connection(boost::asio::ip::tcp::socket socket);
     void on_accept_error(boost::system::error_code error);
     void close_ended();
 
