--- /dev/null
+++ b/src/process_soak/run_recorder.cpp
@@ -0,0 +1,86 @@
+#include "process_soak/run_recorder.h"
+
+namespace cove {
+
+void run_recorder::add(target_run run)
+{
+    std::lock_guard const lock(mutex_);
+    record_.runs.push_back(std::move(run));
+}
+
+void run_recorder::add(client_request request)
+{
+    std::lock_guard const lock(mutex_);
+    record_.requests.push_back(std::move(request));
+}
+
+void run_recorder::add(config_change change)
+{
+    std::lock_guard const lock(mutex_);
+    record_.configs.push_back(std::move(change));
+}
+
+void run_recorder::add(zone_evacuation evacuation)
+{
+    std::lock_guard const lock(mutex_);
+    record_.evacuations.push_back(std::move(evacuation));
+}
+
+void run_recorder::add(target_departure departure)
+{
+    std::lock_guard const lock(mutex_);
+    record_.departures.push_back(std::move(departure));
+}
+
+void run_recorder::add(disturbance item)
+{
+    std::lock_guard const lock(mutex_);
+    record_.disturbances.push_back(std::move(item));
+}
+
+void run_recorder::begin(std::string const& place, std::string const& cause, bool planned)
+{
+    add(disturbance{place, cause, read_clocks().mono, std::nullopt, planned});
+}
+
+void run_recorder::end(std::string const& place, std::string const& cause)
+{
+    std::lock_guard const lock(mutex_);
+    for (disturbance& each : record_.disturbances) {
+        if (each.place == place && each.cause == cause && !each.end) {
+            each.end = read_clocks().mono;
+        }
+    }
+}
+
+void run_recorder::moment(std::string const& place, std::string const& cause)
+{
+    mono_time const now = read_clocks().mono;
+    add(disturbance{place, cause, now, now, false});
+}
+
+void run_recorder::lift_evacuation(std::string const& zone)
+{
+    std::lock_guard const lock(mutex_);
+    for (zone_evacuation& each : record_.evacuations) {
+        if (each.zone == zone && !each.lifted) {
+            each.lifted = read_clocks().mono;
+        }
+    }
+}
+
+void run_recorder::log(std::string const& text)
+{
+    std::lock_guard const lock(mutex_);
+    auto const since = std::chrono::duration_cast<milliseconds>(read_clocks().mono - start_);
+    std::fprintf(journal_, "%8.3f %s\n", static_cast<double>(since.count()) / 1000, text.c_str());
+    std::fflush(journal_);
+}
+
+run_record run_recorder::record()
+{
+    std::lock_guard const lock(mutex_);
+    return record_;
+}
+
+} // namespace cove
--- /dev/null
+++ b/src/process_soak/run_recorder.h
@@ -0,0 +1,45 @@
+#pragma once
+/** @file Collects the record of a run from all threads, and keeps a journal of it. */
+
+#include "process_soak/run_record_type.h"
+
+#include <cstdio>
+#include <mutex>
+
+namespace cove {
+
+class run_recorder {
+public:
+    /** @param journal gets one line for each step; must outlive this object. */
+    explicit run_recorder(std::FILE* journal) : journal_(journal), start_(read_clocks().mono) {}
+
+    void add(target_run run);
+    void add(client_request request);
+    void add(config_change change);
+    void add(zone_evacuation evacuation);
+    void add(target_departure departure);
+
+    /** A disturbance of @p place begins. */
+    void begin(std::string const& place, std::string const& cause, bool planned = false);
+    /** The disturbances of @p place that have this cause end. */
+    void end(std::string const& place, std::string const& cause);
+    /** A disturbance that is over at once. */
+    void moment(std::string const& place, std::string const& cause);
+    /** A disturbance that was noticed when it was over. */
+    void add(disturbance item);
+    void lift_evacuation(std::string const& zone);
+
+    /** Writes a line with the time since the start. */
+    void log(std::string const& text);
+
+    /** @return a copy of all that was seen so far. */
+    run_record record();
+
+private:
+    std::mutex mutex_;
+    std::FILE* journal_;
+    mono_time start_;
+    run_record record_;
+};
+
+} // namespace cove
