Process soak: silence more often on all links to the store, and keep a trace

With one group of hosts in four, the connections of all hosts fell silent too seldom just before a change. All hosts are now half of the groups, and an episode may change service and home. The requests and runs go into a trace file.

--- a/src/process_soak/process_soak.cpp
+++ b/src/process_soak/process_soak.cpp
@@ -63,6 +63,7 @@
         }
         play_until(start + options_.duration);
         clients_.stop();
+        recorder_.write_trace(options_.folder + "/trace");
         run_record const record = recorder_.record();
         out.ended_unasked = fleet_.ended_unasked();
         out.requests = record.requests.size();
--- a/src/process_soak/run_recorder.cpp
+++ b/src/process_soak/run_recorder.cpp
@@ -1,5 +1,7 @@
 #include "process_soak/run_recorder.h"
 
+#include <fstream>
+
 namespace cove {
 
 void run_recorder::add(target_run run)
@@ -72,11 +74,30 @@
 void run_recorder::log(std::string const& text)
 {
     std::lock_guard const lock(mutex_);
-    auto const since = std::chrono::duration_cast<milliseconds>(read_clocks().mono - start_);
-    std::fprintf(journal_, "%8.3f %s\n", static_cast<double>(since.count()) / 1000, text.c_str());
+    std::fprintf(journal_, "%7ld ms %s\n", since_start(read_clocks().mono), text.c_str());
     std::fflush(journal_);
 }
 
+long run_recorder::since_start(mono_time when) const
+{
+    return std::chrono::duration_cast<milliseconds>(when - start_).count();
+}
+
+void run_recorder::write_trace(std::string const& path)
+{
+    std::lock_guard const lock(mutex_);
+    std::ofstream out(path);
+    for (client_request const& each : record_.requests) {
+        out << since_start(each.sent) << " request " << each.attempt << " " << each.host << " "
+            << each.route << " status " << each.status << " signed " << each.signed_by_target
+            << " ended " << since_start(each.ended) << "\n";
+    }
+    for (target_run const& each : record_.runs) {
+        out << since_start(each.at) << " run " << each.attempt << " " << each.target << " "
+            << each.service << " " << each.zone << "\n";
+    }
+}
+
 run_record run_recorder::record()
 {
     std::lock_guard const lock(mutex_);
--- a/src/process_soak/run_recorder.h
+++ b/src/process_soak/run_recorder.h
@@ -32,10 +32,16 @@
     /** Writes a line with the time since the start. */
     void log(std::string const& text);
 
+    /** Writes all requests and runs to @p path, for the trace of a finding. */
+    void write_trace(std::string const& path);
+
     /** @return a copy of all that was seen so far. */
     run_record record();
 
 private:
+    /** @return the time since the start in ms. */
+    [[nodiscard]] long since_start(mono_time when) const;
+
     std::mutex mutex_;
     std::FILE* journal_;
     mono_time start_;
--- a/src/process_soak/step_schedule.cpp
+++ b/src/process_soak/step_schedule.cpp
@@ -55,9 +55,13 @@
             add_target_fault(at);
         }
         auto const after = [&] { return at + between(milliseconds(0), change_delay_max); };
-        steps_.push_back(
-            {.at = after(),
-             .kind = random_.one_in(2) ? step_kind::change_service : step_kind::change_home});
+        bool const service = random_.one_in(2);
+        if (service) {
+            steps_.push_back({.at = after(), .kind = step_kind::change_service});
+        }
+        if (!service || random_.one_in(2)) {
+            steps_.push_back({.at = after(), .kind = step_kind::change_home});
+        }
         if (random_.one_in(3)) {
             steps_.push_back({.at = after(), .kind = step_kind::add_route});
         }
@@ -76,17 +80,18 @@
         }
     }
 
-    /** @return all hosts, the first one of each zone, those of one zone, or one host. */
+    /** @return all hosts (often), the first one of each zone, those of one zone, or one host. */
     std::vector<std::size_t> pick_hosts()
     {
         std::vector<std::size_t> out;
         std::size_t const count = shape_.zones * shape_.hosts_per_zone;
-        std::uint64_t const group = random_.below(4);
+        constexpr std::uint64_t groups = 6; // those from 3 on are all hosts
+        std::uint64_t const group = random_.below(groups);
         std::size_t const chosen = random_.below(count);
         for (std::size_t host = 0; host < count; ++host) {
-            if (group == 0 || (group == 1 && host % shape_.hosts_per_zone == 0) ||
+            if (group >= 3 || (group == 1 && host % shape_.hosts_per_zone == 0) ||
                 (group == 2 && host / shape_.hosts_per_zone == chosen / shape_.hosts_per_zone) ||
-                (group == 3 && host == chosen)) {
+                (group == 0 && host == chosen)) {
                 out.push_back(host);
             }
         }
