--- a/src/process_soak/run_recorder.cpp
+++ b/src/process_soak/run_recorder.cpp
@@ -4,42 +4,6 @@
 
 namespace cove {
 
-void run_recorder::add(target_run run)
-{
-    std::lock_guard const lock(mutex_);
-    record_.runs.push_back(std::move(run));
-}
-
-void run_recorder::add(client_request request)
-{
-    std::lock_guard const lock(mutex_);
-    record_.requests.push_back(std::move(request));
-}
-
-void run_recorder::add(config_change change)
-{
-    std::lock_guard const lock(mutex_);
-    record_.configs.push_back(std::move(change));
-}
-
-void run_recorder::add(zone_evacuation evacuation)
-{
-    std::lock_guard const lock(mutex_);
-    record_.evacuations.push_back(std::move(evacuation));
-}
-
-void run_recorder::add(target_departure departure)
-{
-    std::lock_guard const lock(mutex_);
-    record_.departures.push_back(std::move(departure));
-}
-
-void run_recorder::add(disturbance item)
-{
-    std::lock_guard const lock(mutex_);
-    record_.disturbances.push_back(std::move(item));
-}
-
 void run_recorder::begin(std::string const& place, std::string const& cause, bool planned)
 {
     add(disturbance{place, cause, read_clocks().mono, std::nullopt, planned});
--- a/src/process_soak/run_recorder.h
+++ b/src/process_soak/run_recorder.h
@@ -13,11 +13,13 @@
     /** @param journal gets one line for each step; must outlive this object. */
     explicit run_recorder(std::FILE* journal) : journal_(journal), start_(read_clocks().mono) {}
 
-    void add(target_run run);
-    void add(client_request request);
-    void add(config_change change);
-    void add(zone_evacuation evacuation);
-    void add(target_departure departure);
+    /** Adds an item to the record. */
+    template <class Item>
+    void add(Item item)
+    {
+        std::lock_guard const lock(mutex_);
+        items_of(item).push_back(std::move(item));
+    }
 
     /** A disturbance of @p place begins. */
     void begin(std::string const& place, std::string const& cause, bool planned = false);
@@ -25,8 +27,6 @@
     void end(std::string const& place, std::string const& cause);
     /** A disturbance that is over at once. */
     void moment(std::string const& place, std::string const& cause);
-    /** A disturbance that was noticed when it was over. */
-    void add(disturbance item);
     void lift_evacuation(std::string const& zone);
 
     /** Writes a line with the time since the start. */
@@ -42,6 +42,13 @@
     /** @return the time since the start in ms. */
     [[nodiscard]] long since_start(mono_time when) const;
 
+    auto& items_of(config_change const&) { return record_.configs; }
+    auto& items_of(client_request const&) { return record_.requests; }
+    auto& items_of(target_run const&) { return record_.runs; }
+    auto& items_of(disturbance const&) { return record_.disturbances; }
+    auto& items_of(zone_evacuation const&) { return record_.evacuations; }
+    auto& items_of(target_departure const&) { return record_.departures; }
+
     std::mutex mutex_;
     std::FILE* journal_;
     mono_time start_;
