Encode what other writers of the store write in platform/, for stand-ins

The process soak spelled the platform's names in its own files. The encoders are the inverse of the decoders and tested against them; the fixture of the platform's tests moves to tests/platform for the same reason.

--- a/src/process_soak/process_soak.cpp
+++ b/src/process_soak/process_soak.cpp
@@ -1,6 +1,7 @@
 #include "process_soak/process_soak.h"
 
 #include "platform/wire_names.h"
+#include "platform/writer_json.h"
 #include "process_soak/client_pool.h"
 #include "process_soak/host_fleet.h"
 #include "process_soak/link_proxy.h"
@@ -25,6 +26,11 @@
 constexpr milliseconds poll_interval{10};
 constexpr milliseconds stall_min{250}; ///< of this process; its measurements count as disturbed
 constexpr milliseconds retirement_slack{1500}; ///< that a target serves after its drain time
+constexpr milliseconds route_timeout{2000};
+constexpr milliseconds route_objective{250};
+constexpr int target_connections = 330;
+constexpr milliseconds cold_period{3000};
+constexpr double cold_rate = 50; ///< requests per second
 constexpr char const* client_host = "desk.example";
 constexpr char const* link = "link"; ///< cause of a disturbance
 constexpr std::array services{"blue", "green"};
@@ -349,26 +355,24 @@
         config_change change;
         change.version = ++version_;
         std::string const service = services.at(service_);
-        json resources = json::array();
-        auto const add = [&](std::string const& route, bool once, std::string const& home) {
-            change.routes[route] = {service, home};
-            json homes = json::array();
+        routing_config config;
+        config.version = generation(static_cast<std::uint64_t>(version_));
+        auto const add = [&](std::string const& path, bool once, std::string const& home) {
+            change.routes[path] = {service, home};
+            route_config route;
+            route.name = route_id("route" + path);
+            route.host = client_host;
+            route.prefix = path;
+            route.idempotent = !once;
+            route.timeout = route_timeout;
+            route.objective = route_objective;
+            route.priority = 1;
+            route.max_attempts = 2;
+            route.services = {{service_id(service), 1}};
             if (!home.empty()) {
-                homes.push_back(home);
+                route.home_regions.emplace_back(home);
             }
-            resources.push_back({{"resource_kind", "routes"},
-                                 {"metadata", {{"name", "route" + route}}},
-                                 {"spec",
-                                  {{"host", client_host},
-                                   {"path_prefix", route},
-                                   {"kind", once ? "non_idempotent" : "idempotent"},
-                                   {"timeout", "2s"},
-                                   {"target_latency", "250ms"},
-                                   {"priority", 1},
-                                   {"service", service},
-                                   {"max_attempts", 2},
-                                   {"sticky_sessions", false},
-                                   {"home_regions", homes}}}});
+            config.routes.push_back(std::move(route));
         };
         for (char const* route : plain_routes) {
             add(route, route == plain_routes.back(), "");
@@ -380,26 +384,12 @@
             add(added_route(i), false, "");
         }
         for (char const* name : services) {
-            resources.push_back({{"resource_kind", "services"},
-                                 {"metadata", {{"name", name}}},
-                                 {"spec",
-                                  {{"health_path", "/healthz"},
-                                   {"max_conns", 330},
-                                   {"cold_start", "3s"},
-                                   {"cold_per_s", 50.0}}}});
+            config.services[service_id(name)] = {service_id(name), "/healthz", target_connections,
+                                                 cold_period, cold_rate};
         }
-        resources.push_back({{"resource_kind", "limits"},
-                             {"metadata", json::object()},
-                             {"spec",
-                              {{"max_header_bytes", 16384},
-                               {"max_body_bytes", 1 << 20},
-                               {"header_timeout", "3s"},
-                               {"idle_timeout", "15s"}}}});
-        std::array<char, 16> number{};
-        std::snprintf(number.data(), number.size(), "%08x", static_cast<unsigned>(version_));
+        config.limits = {16'384, 1 << 20, milliseconds{3000}, milliseconds{15'000}};
         change.written = read_clocks().mono;
-        change.acknowledged = store_.put(wire::config_kind, wire::config_name,
-                                         {{"version", number.data()}, {"resources", resources}});
+        change.acknowledged = store_.put(wire::config_kind, wire::config_name, config_spec(config));
         recorder_.log("version " + std::to_string(version_) + ": " + service + ", home " +
                       region_name(home_));
         recorder_.add(std::move(change));
--- a/src/process_soak/target_standin.cpp
+++ b/src/process_soak/target_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "platform/wire_names.h"
+#include "platform/writer_json.h"
 
 #include <array>
 
@@ -42,14 +43,14 @@
     if (!listener_.start(ip, port)) {
         return false;
     }
-    report("ready");
+    report(target_phase::serving);
     return true;
 }
 
 void target_standin::leave()
 {
     leaving_ = true;
-    recorder_.add(target_departure{identity_.id, report("draining")});
+    recorder_.add(target_departure{identity_.id, report(target_phase::leaving)});
 }
 
 void target_standin::stop()
@@ -59,17 +60,17 @@
     listener_.stop();
 }
 
-mono_time target_standin::report(char const* state)
+mono_time target_standin::report(target_phase phase)
 {
-    return store_.put(wire::target_kind, identity_.id,
-                      {{"address", identity_.address},
-                       {"born", born_ms_},
-                       {"info",
-                        {{"service", identity_.service},
-                         {"version", "v1"},
-                         {"zone", identity_.zone},
-                         {"slots", slots}}},
-                       {"status", {{"state", state}, {"seq", 1}, {"cold_remaining", "0ms"}}}});
+    target_entry entry;
+    entry.id = target_id(identity_.id);
+    entry.service = service_id(identity_.service);
+    entry.address = identity_.address;
+    entry.zone = zone_id(identity_.zone);
+    entry.slots = slots;
+    entry.phase = phase;
+    entry.incarnation = target_incarnation(born_ms_);
+    return store_.put(wire::target_kind, identity_.id, target_spec(entry));
 }
 
 void target_standin::serve(httplib::Request const& request, httplib::Response& response)
--- a/src/process_soak/target_standin.h
+++ b/src/process_soak/target_standin.h
@@ -4,6 +4,7 @@
 #include "process_soak/http_listener.h"
 #include "process_soak/run_recorder.h"
 #include "process_soak/store_standin.h"
+#include "traffic/target_type.h"
 
 #include <atomic>
 
@@ -36,7 +37,7 @@
     [[nodiscard]] target_identity const& identity() const { return identity_; }
 
 private:
-    mono_time report(char const* state);
+    mono_time report(target_phase phase);
     void serve(httplib::Request const& request, httplib::Response& response);
     void run(std::string const& attempt, httplib::Response& response);
 
--- a/tests/platform/mute_store_test.cpp
+++ b/tests/platform/mute_store_test.cpp
@@ -1,6 +1,6 @@
 /** @file An entry host whose open connections to the store acknowledge and say nothing. */
 
-#include "support/store_case.h"
+#include "platform/store_case.h"
 
 namespace cove {
 namespace {
--- a/tests/platform/store_return_test.cpp
+++ b/tests/platform/store_return_test.cpp
@@ -1,6 +1,6 @@
 /** @file An entry host before a store that comes back from an older copy of its data. */
 
-#include "support/store_case.h"
+#include "platform/store_case.h"
 
 namespace cove {
 namespace {
