Decode workspaces of the configuration; message and settings types for keys and quotas

Cause: configurations may list workspaces with access keys, limits, priority and home regions, and routes may be public; the decoder skipped both. Hosts need messages to prove that a configuration is the newest and to divide quotas. Change: platform/ decodes workspaces; a malformed one is left out and reported with its place, the rest stays in force. New types workspace_config, request_terms, quota_demand, freshness_query and freshness_answer with their encoding, and settings for the bounds. Nothing uses them yet.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -76,6 +76,8 @@
     void on(host_snapshot const& message);
     void on(target_changes const& message);
     void on(crash_report const& message);
+    void on(freshness_query const& message);
+    void on(freshness_answer const& message);
     void spread_crashes(std::vector<crash_record> const& records);
     void repeat_crashes(mono_time now);
     bool apply(target_changes const& message, std::string const& source);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -50,7 +50,8 @@
 char const* kind_of(host_message const& message)
 {
     constexpr std::array<char const*, std::variant_size_v<host_message>> kinds{
-        "gossip", "pull_request", "snapshot", "target_changes", "crash_report"};
+        "gossip",       "pull_request",    "snapshot",        "target_changes",
+        "crash_report", "freshness_query", "freshness_answer"};
     return kinds.at(message.index());
 }
 
@@ -233,6 +234,10 @@
     }
 }
 
+void entry_host::on(freshness_query const& /*message*/) {}
+
+void entry_host::on(freshness_answer const& /*message*/) {}
+
 /** Reports ended targets to this zone and to one host of each other zone, which passes it on. */
 void entry_host::spread_crashes(std::vector<crash_record> const& records)
 {
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -23,6 +23,7 @@
     using s = host_settings;
     constexpr int last_port = 65535;
     constexpr int max_memory_mb = 1 << 20;
+    constexpr int max_file_descriptors = 1 << 24;
     settings_table<s> table;
     table.text("name", &s::name, "name of this host")
         .text("zone", &s::zone, "availability zone of this host")
@@ -64,6 +65,21 @@
         .optional()
         .integer("memory_mb", &s::memory_mb, 1, max_memory_mb, "memory that this host may use, MiB")
         .optional()
+        .integer("max_descriptors", &s::max_descriptors, 0, max_file_descriptors,
+                 "file descriptors that this host may use; 0: the process limit")
+        .optional()
+        .duration("key_withdrawal_max", &s::key_withdrawal_max,
+                  "time after which no request with a withdrawn key may run; 0s: no bound")
+        .optional()
+        .duration("quota_window", &s::quota_window,
+                  "time over which the quota of a workspace is checked")
+        .optional()
+        .number("quota_overage", &s::quota_overage,
+                "share of a quota by which all hosts together may exceed it")
+        .optional()
+        .number("quota_slack", &s::quota_slack,
+                "requests by which all hosts together may exceed a quota")
+        .optional()
         .flag("first_start", &s::first_start,
               "whether all hosts start together, before any client traffic");
     return table;
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -36,8 +36,14 @@
     double shift_cap = 1;
     /// How long requests that end targets stay blocked; zero: they are not blocked.
     milliseconds crash_retention{600'000};
-    int memory_mb = 128;      ///< MiB that this host may use
-    bool first_start = false; ///< all hosts start together, before any client traffic
+    int memory_mb = 128;     ///< MiB that this host may use
+    int max_descriptors = 0; ///< file descriptors that this host may use; 0: the process limit
+    /// Time after which no request with a withdrawn key may run; zero: no bound.
+    milliseconds key_withdrawal_max{};
+    milliseconds quota_window{5000}; ///< time over which the quota of a workspace is checked
+    double quota_overage = 0;        ///< share of a quota by which hosts together may exceed it
+    double quota_slack = 0;          ///< requests by which hosts together may exceed a quota
+    bool first_start = false;        ///< all hosts start together, before any client traffic
 };
 
 /** @return the table that parses, validates and describes the settings. */
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -22,9 +22,11 @@
     std::string expected_target; ///< a target with another id rejects the request
     std::string signature;       ///< set by targets only; responses of others lack it
     std::string not_run;         ///< present if the target did not run the request
-    std::string load;            ///< running,waiting,slots of the target
+    std::string load;            ///< running,waiting,slots[,slowness in percent] of the target
     std::string leaving;         ///< `1` if the target shuts down
-    std::string limit; ///< requests per second that the target takes from all hosts together
+    std::string limit;      ///< requests per second that the target takes from all hosts together
+    std::string workspace;  ///< name of the workspace, set by this host only
+    std::string key_scheme; ///< of Authorization, before the access key
 };
 
 /** Translates requests and responses into traffic events and executes the resulting effects. */
--- a/src/host/store_calls.h
+++ b/src/host/store_calls.h
@@ -21,6 +21,7 @@
 struct config_document {
     std::string text; ///< as stored; sent to other hosts unchanged
     routing_config config;
+    std::vector<step_error> left_out = {}; ///< malformed entries that are not in `config`
 };
 
 /** An entry host as registered in the store. */
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -51,8 +51,33 @@
     return loads;
 }
 
+template <class Message>
+void write_demands(Message& out, std::vector<quota_demand> const& demands)
+{
+    for (quota_demand const& demand : demands) {
+        auto* const item = out.add_quota_demands();
+        item->set_workspace(demand.workspace);
+        item->set_rate(static_cast<float>(demand.rate));
+        item->set_hosts(static_cast<std::uint32_t>(demand.hosts));
+        item->set_zone_hosts(static_cast<std::uint32_t>(demand.zone_hosts));
+    }
+}
+
+template <class Message>
+std::vector<quota_demand> read_demands(Message const& in)
+{
+    std::vector<quota_demand> demands;
+    for (wire::QuotaDemand const& item : in.quota_demands()) {
+        demands.push_back({item.workspace(), item.rate(), static_cast<int>(item.hosts()),
+                           static_cast<int>(item.zone_hosts())});
+    }
+    return demands;
+}
+
 void write(wire::HostReport& out, host_report const& report)
 {
+    out.set_stale_config(report.stale_config);
+    write_demands(out, report.quota_demands);
     out.set_name(report.name.value);
     out.set_zone(report.zone.value);
     out.set_ip(report.ip);
@@ -98,6 +123,8 @@
     report.versions = read_versions(in);
     report.store_lost = in.store_lost();
     report.loads = read_loads(in);
+    report.stale_config = in.stale_config();
+    report.quota_demands = read_demands(in);
     for (int i = 0; i < std::min(in.busy_targets_size(), in.running_size()); ++i) {
         report.targets_in_flight.push_back({in.busy_targets(i), static_cast<int>(in.running(i))});
     }
@@ -121,6 +148,7 @@
     out.set_ip(zone.ip);
     write_versions(out, zone.versions);
     write_loads(out, zone.loads);
+    write_demands(out, zone.quota_demands);
     out.set_has_roster(zone.roster.has_value());
     if (!zone.roster) {
         return;
@@ -144,6 +172,7 @@
     zone.ip = in.ip();
     zone.versions = read_versions(in);
     zone.loads = read_loads(in);
+    zone.quota_demands = read_demands(in);
     if (in.has_roster()) {
         std::vector<roster_host> roster;
         for (wire::RosterHost const& host : in.roster()) {
@@ -273,6 +302,20 @@
     }
 }
 
+void write(wire::HostEnvelope& out, freshness_query const& message)
+{
+    out.mutable_freshness_query()->set_sender_ip(message.sender_ip);
+    out.mutable_freshness_query()->set_nonce(message.nonce);
+}
+
+void write(wire::HostEnvelope& out, freshness_answer const& message)
+{
+    auto* const body = out.mutable_freshness_answer();
+    body->set_nonce(message.nonce);
+    body->set_offset_ms(message.offset.count());
+    body->set_config_version(message.version.value);
+}
+
 crash_report read(wire::CrashReport const& in)
 {
     crash_report message{{}, in.pass_on()};
@@ -390,6 +433,14 @@
         return host_message(read(envelope.target_changes()));
     case wire::HostEnvelope::kCrashReport:
         return host_message(read(envelope.crash_report()));
+    case wire::HostEnvelope::kFreshnessQuery:
+        return host_message(freshness_query{envelope.freshness_query().sender_ip(),
+                                            envelope.freshness_query().nonce()});
+    case wire::HostEnvelope::kFreshnessAnswer:
+        return host_message(
+            freshness_answer{envelope.freshness_answer().nonce(),
+                             milliseconds(envelope.freshness_answer().offset_ms()),
+                             generation(envelope.freshness_answer().config_version())});
     default:
         return fail("peer.decode", peer, "entry host message without a known body");
     }
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -31,6 +31,15 @@
     milliseconds age{};          ///< time since the answer of the target
 };
 
+/** Requests per second that hosts want to admit of the quota of a workspace. */
+struct quota_demand {
+    std::uint32_t workspace = 0; ///< short hash of its name
+    double rate = 0;             ///< requests per second; 0: none any more
+    int hosts = 0;               ///< with demand
+    int zone_hosts = 0;          ///< hosts of the zone, in the status of a zone
+    bool operator==(quota_demand const&) const = default;
+};
+
 /** Report of a host on itself, for the other hosts of its zone. */
 struct host_report {
     node_id name;
@@ -48,6 +57,8 @@
     std::vector<target_in_flight> targets_in_flight;
     std::vector<target_limit_report> target_limits;
     std::vector<service_objects> new_objects; ///< first seen since the last round of reports
+    bool stale_config = false;                ///< cannot prove that its configuration is the newest
+    std::vector<quota_demand> quota_demands;
 };
 
 /** A host that accepts client requests. */
@@ -70,6 +81,7 @@
     known_versions versions;
     std::vector<service_load_report> loads;
     std::optional<std::vector<roster_host>> roster; ///< its serving hosts; absent if unchanged
+    std::vector<quota_demand> quota_demands;        ///< of all hosts of the zone
 };
 
 /** Reports of hosts of the sender's zone and statuses of zones. */
@@ -135,8 +147,22 @@
     bool pass_on = false; ///< the receiver passes it on to the other hosts of its zone
 };
 
-using host_message =
-    std::variant<gossip, pull_request, host_snapshot, target_changes, crash_report>;
+/** Asks up to which moment the configuration of the receiver is known to be the newest. */
+struct freshness_query {
+    std::string sender_ip;
+    std::uint64_t nonce = 0; ///< used once
+};
+
+/** Answer to a freshness query. */
+struct freshness_answer {
+    std::uint64_t nonce = 0; ///< of the query
+    /// The proven moment minus the receipt of the query, on the answering host's clock.
+    milliseconds offset{};
+    generation version; ///< configuration that is known to have been the newest
+};
+
+using host_message = std::variant<gossip, pull_request, host_snapshot, target_changes, crash_report,
+                                  freshness_query, freshness_answer>;
 
 /** @return the serialized @p message. */
 std::string encode_host_message(host_message const& message);
--- a/src/route/route_type.h
+++ b/src/route/route_type.h
@@ -3,6 +3,7 @@
 
 #include "core/ids_type.h"
 #include "core/time_type.h"
+#include "workspace/workspace_type.h"
 
 #include <cstdint>
 #include <map>
@@ -33,6 +34,7 @@
     int max_attempts = 1;                ///< how many times a request may be sent to a target
     bool sticky = false;                 ///< targets that recently handled the object answer faster
     std::vector<region_id> home_regions; ///< regions whose targets may be used; empty means any
+    bool is_public = false;              ///< served without an access key
 };
 
 /** Configured properties of a service. */
@@ -57,6 +59,8 @@
     generation version;
     std::vector<route_config> routes;
     std::map<service_id, service_settings> services;
+    bool has_workspaces = false;              ///< requests carry access keys, but on public routes
+    std::vector<workspace_config> workspaces; ///< in order of the configuration; names are unique
     client_limits limits;
 };
 
--- a/src/traffic/target_type.h
+++ b/src/traffic/target_type.h
@@ -66,6 +66,9 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Time that work takes on its machine now, relative to the usual; absent: the target tells
+    /// none.
+    std::optional<double> slowness = std::nullopt;
 };
 
 } // namespace cove
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -17,6 +17,14 @@
 
 using request_id = strong_number<struct request_tag>; ///< identifies a request within this host
 
+/** What the workspace of a request, or the host that relays it, adds to the rules of its route. */
+struct request_terms {
+    workspace_id workspace;              ///< empty: none
+    std::optional<int> priority;         ///< replaces that of the route
+    std::vector<region_id> home_regions; ///< bind beside those of the route; empty means any
+    std::optional<int> attempts_left;    ///< of the route's max_attempts, if other hosts used some
+};
+
 /** A client sent a request that matched a route. */
 struct request_arrived {
     request_id id;
@@ -27,6 +35,7 @@
     milliseconds deadline{}; ///< how long the client waits, from now
     request_fingerprint fingerprint{};
     bool relayed = false; ///< by another host, which is cut off from the targets
+    request_terms terms = {};
 };
 
 /** How one attempt at a target ended. */
--- a/tests/platform/writer_test.cpp
+++ b/tests/platform/writer_test.cpp
@@ -34,6 +34,9 @@
         config.services[service_id(name)] = {service_id(name), "/h", 9, milliseconds{3000}, 12.5};
     }
     config.limits = {16'384, 100'000, milliseconds{3000}, milliseconds{15'000}};
+    workspace_config farm{workspace_id("farm"), {"k1", "k2"}, 0, {region_id("east")}, {7.5, 20}};
+    config.routes.front().is_public = true;
+    config.workspaces = {farm, {workspace_id("idle"), {}, std::nullopt, {}, {}}};
     auto const read = read_config_document(config_spec(config).dump());
     ASSERT_TRUE(read) << to_string(read.error());
     EXPECT_EQ(read->config.version, config.version);
@@ -48,9 +51,12 @@
         EXPECT_EQ(got.priority, meant.priority);
         EXPECT_EQ(got.max_attempts, meant.max_attempts);
         EXPECT_EQ(got.sticky, meant.sticky);
+        EXPECT_EQ(got.is_public, meant.is_public);
         EXPECT_EQ(got.home_regions, meant.home_regions);
         EXPECT_EQ(got.services.size(), meant.services.size());
     }
+    EXPECT_TRUE(read->config.has_workspaces);
+    EXPECT_EQ(read->config.workspaces, config.workspaces);
     EXPECT_EQ(read->config.services.at(service_id("desk")).cold_rate, 12.5);
     EXPECT_EQ(read->config.limits.idle_timeout, config.limits.idle_timeout);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -196,5 +196,68 @@
     EXPECT_FALSE(read_config_document(config_spec("xyz").dump()));
 }
 
+json workspace_resource(json const& name, json const& spec)
+{
+    json base{{"api_keys", {"key-1"}}, {"rate_per_s", 5}, {"burst", 7}};
+    base.update(spec);
+    return {{"resource_kind", "tenants"}, {"metadata", {{"name", name}}}, {"spec", base}};
+}
+
+struct odd_workspace {
+    char const* name;
+    json workspace_name;
+    json spec;
+    char const* place; ///< text that the error contains
+};
+
+class odd_workspaces : public testing::TestWithParam<odd_workspace> {};
+
+// Guards against a malformed workspace that makes the whole configuration unusable, or that is
+// taken over in part, so that its keys are valid without its limit.
+TEST_P(odd_workspaces, are_left_out_with_the_place_of_the_error)
+{
+    json spec = config_spec();
+    spec["resources"].push_back(workspace_resource(GetParam().workspace_name, GetParam().spec));
+    spec["resources"].push_back(workspace_resource("good", {{"api_keys", {"key-2"}}}));
+    auto const document = read_config_document(spec.dump());
+    ASSERT_TRUE(document) << to_string(document.error());
+    EXPECT_EQ(document->config.routes.size(), 2U);
+    EXPECT_TRUE(document->config.has_workspaces);
+    ASSERT_EQ(document->config.workspaces.size(), 1U);
+    EXPECT_EQ(document->config.workspaces.front().name, workspace_id("good"));
+    ASSERT_EQ(document->left_out.size(), 1U);
+    EXPECT_NE(to_string(document->left_out.front()).find(GetParam().place), std::string::npos)
+        << to_string(document->left_out.front());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, odd_workspaces,
+    testing::Values(
+        odd_workspace{"no_name", nullptr, json::object(), "resources/4/metadata/name"},
+        odd_workspace{"empty_name", "", json::object(), "resources/4/metadata/name"},
+        odd_workspace{"no_keys", "a", {{"api_keys", nullptr}}, "resources/4/spec/api_keys"},
+        odd_workspace{"empty_key", "a", {{"api_keys", {""}}}, "resources/4/spec/api_keys"},
+        odd_workspace{"key_no_text", "a", {{"api_keys", {7}}}, "resources/4/spec/api_keys"},
+        odd_workspace{"key_with_space", "a", {{"api_keys", {"a b"}}}, "api_keys"},
+        odd_workspace{"key_with_control", "a", {{"api_keys", {"a\r\nb"}}}, "api_keys"},
+        odd_workspace{"rate_below_zero", "a", {{"rate_per_s", -1}}, "spec/rate_per_s"},
+        odd_workspace{"rate_huge", "a", {{"rate_per_s", 1e12}}, "spec/rate_per_s"},
+        odd_workspace{"burst_text", "a", {{"burst", "many"}}, "spec/burst"},
+        odd_workspace{"priority_below_zero", "a", {{"priority", -1}}, "spec/priority"},
+        odd_workspace{"homes_no_list", "a", {{"home_regions", "east"}}, "home_regions"}),
+    [](auto const& info) { return info.param.name; });
+
+TEST(read_config, leaves_out_a_second_workspace_of_the_same_name)
+{
+    json spec = config_spec();
+    spec["resources"].push_back(workspace_resource("a", {{"api_keys", {"key-1"}}}));
+    spec["resources"].push_back(workspace_resource("a", {{"api_keys", {"key-2"}}}));
+    auto const document = read_config_document(spec.dump());
+    ASSERT_TRUE(document);
+    ASSERT_EQ(document->config.workspaces.size(), 1U);
+    EXPECT_EQ(document->config.workspaces.front().keys, std::vector<std::string>{"key-1"});
+    EXPECT_EQ(document->left_out.size(), 1U);
+}
+
 } // namespace
 } // namespace cove
--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -57,8 +57,8 @@
 inline host_wire_format test_wire_format()
 {
     host_wire_format wire;
-    wire.names = {"Attempt", "Deadline", "Object",  "Expected", "Signature",
-                  "Not-Run", "Load",     "Leaving", "Limit"};
+    wire.names = {"Attempt", "Deadline", "Object", "Expected",  "Signature", "Not-Run",
+                  "Load",    "Leaving",  "Limit",  "Workspace", "Token"};
     wire.ready_path = "/ready";
     wire.parse_lookup = [](std::string const&) {
         return lookup_request{"desk.example", zone_id("east")};
