Fill in the sections of the settings template in its test

Change: the test renders the template with and without its sections, and compares the settings of both.

--- a/tests/host/entry_host_test.cpp
+++ b/tests/host/entry_host_test.cpp
@@ -8,28 +8,49 @@
 namespace cove {
 namespace {
 
-TEST(host_settings, match_the_deployment_template)
+/**
+ * @return the template with null for each placeholder, which keeps it valid JSON.
+ * @param with_sections whether the optional sections are rendered.
+ */
+std::string fill_in(std::string const& text, bool with_sections)
 {
-    // The platform replaces the placeholders; null keeps the template valid JSON.
-    std::ifstream file(COVE_SOURCE_DIR "/deploy/settings.json");
-    ASSERT_TRUE(file);
-    std::string const text{std::istreambuf_iterator<char>(file), {}};
     std::string filled;
     for (std::size_t at = 0; at < text.size();) {
-        if (text.compare(at, 2, "{{") == 0) {
-            filled += "null";
-            at = text.find("}}", at) + 2;
-        }
-        else {
+        if (text.compare(at, 2, "{{") != 0) {
             filled += text[at++];
+            continue;
+        }
+        auto const end = text.find("}}", at) + 2;
+        std::string const name = text.substr(at + 3, end - at - 5);
+        if (text[at + 2] == '#') {
+            at = with_sections ? end : text.find("{{/" + name + "}}", end) + name.size() + 5;
+            continue;
         }
+        filled += text[at + 2] == '/' ? "" : "null";
+        at = end;
     }
-    auto const fields = nlohmann::json::parse(filled);
+    return filled;
+}
+
+// Guards against a setting that the deployment does not pass, and against a template that is no
+// valid JSON when the deployment has no bound for an optional section.
+TEST(host_settings, match_the_deployment_template)
+{
+    std::ifstream file(COVE_SOURCE_DIR "/deploy/settings.json");
+    ASSERT_TRUE(file);
+    std::string const text{std::istreambuf_iterator<char>(file), {}};
+    auto const fields = nlohmann::json::parse(fill_in(text, true));
     auto const settings = nlohmann::json::parse(settings_text());
     for (auto const& [name, value] : settings.items()) {
         EXPECT_TRUE(fields.contains(name)) << name;
     }
     EXPECT_EQ(fields.size(), settings.size());
+    auto const required = nlohmann::json::parse(fill_in(text, false));
+    for (char const* const optional :
+         {"key_withdrawal_max", "quota_window", "quota_overage", "quota_slack"}) {
+        EXPECT_FALSE(required.contains(optional)) << optional;
+    }
+    EXPECT_EQ(required.size() + 4, settings.size());
 }
 
 TEST(host_settings, errors_name_the_setting)
--- a/tests/support/host_case.h
+++ b/tests/support/host_case.h
@@ -36,6 +36,11 @@
                             {"repeat_slack", 50},
                             {"shift_cap", 0.15},
                             {"memory_mb", 80},
+                            {"max_descriptors", 0},
+                            {"key_withdrawal_max", "0s"},
+                            {"quota_window", "5s"},
+                            {"quota_overage", 0},
+                            {"quota_slack", 0},
                             {"first_start", false}};
     if (!changed.empty()) {
         settings[changed] = nlohmann::json::parse(value);
