--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -139,6 +139,9 @@
                 [this](milliseconds time) { report_unread(time); },
                 [this](std::string const& reason) {
                     log_.event("accept_failed", {{"reason", reason}}, read_clocks().mono);
+                },
+                [this](http_request const& request) {
+                    return forwarder_.may_run_concurrently(request);
                 }}),
       readiness_(
           loop, timers,
@@ -462,8 +465,8 @@
 
 /**
  * Planned stop: peers remove this host from look-up answers at once, each client connection closes
- * after its next response, requests get the time that is left, and the process exits when no
- * connection is left, at the latest shortly before the grace time ends.
+ * after the last response that it owes, requests get the time that is left, and the process exits
+ * when no connection is left, at the latest shortly before the grace time ends.
  */
 void entry_host::start_leaving()
 {
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -223,6 +223,16 @@
     accept(request_id(call.value | relayed_id_bit), std::move(open), true);
 }
 
+bool request_forwarder::may_run_concurrently(http_request const& request) const
+{
+    if (!routes_) {
+        return false;
+    }
+    std::string const target = to_std_string(request.target());
+    auto const route = routes_->find(to_std_string(request[http::field::host]), path_of(target));
+    return route && route->idempotent;
+}
+
 void request_forwarder::accept(request_id id, open_request open, bool relayed)
 {
     if (!routes_) {
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -68,6 +68,9 @@
     void on_request(call_id call, http_request request);
     void on_client_disconnected(call_id call);
 
+    /** @return whether @p request may run beside others of its client: its route is idempotent. */
+    [[nodiscard]] bool may_run_concurrently(http_request const& request) const;
+
     /** A request that another host relays, as it is cut off from the targets. */
     void on_relayed_request(call_id call, http_request request);
     void on_relay_disconnected(call_id call);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -125,7 +125,7 @@
     }
     server_connection* const connection = found->second;
     calls_.erase(found);
-    connection->respond(std::move(response));
+    connection->respond(call, std::move(response));
 }
 
 std::string http_server::client_ip(call_id call) const
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -2,8 +2,8 @@
 /** @file HTTP server on the event loop. */
 
 #include "core/error.h"
-#include "core/strong_type.h"
 #include "core/time_type.h"
+#include "http/call_pipeline.h"
 #include "http/http_type.h"
 #include "http/loop_timers.h"
 
@@ -16,8 +16,6 @@
 
 namespace cove {
 
-using call_id = strong_number<struct call_tag>; ///< one request received by a server
-
 /** Size limits and timeouts for clients. */
 struct server_limits {
     std::uint32_t header_bytes = 16 * 1024;
@@ -36,6 +34,9 @@
     std::function<void(milliseconds)> unread = nullptr;
     /// A connection could not be accepted, for this reason. May be empty.
     std::function<void(std::string const&)> accept_failed = nullptr;
+    /// Whether a request may run beside others of its connection. If empty, a request is read only
+    /// after the response to the one before it.
+    std::function<bool(http_request const&)> concurrent = nullptr;
 };
 
 class server_connection;
@@ -59,7 +60,7 @@
     /** Changes the limits: sizes from a connection's next request, timeouts from its next phase. */
     void set_limits(server_limits const& limits) { limits_ = limits; }
 
-    /** Closes each connection after its next response, from now on. */
+    /** Closes each connection after the last response that it owes, from now on. */
     void close_after_responses() { closing_ = true; }
 
     /** Stops accepting connections. */
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds linger_timeout{1000};     ///< time for the client to read the response
 constexpr std::size_t linger_chunk_bytes = 4096; ///< read and discarded at a time
 constexpr milliseconds no_timeout = milliseconds::max();
+/// Bounds what one connection can make the host run and hold at once.
+constexpr std::size_t max_calls = 16;
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /** @return the time since the last bytes on @p socket were received; nullopt if unknown. */
@@ -41,7 +43,8 @@
 } // namespace
 
 server_connection::server_connection(http_server& server, tcp::socket socket)
-    : server_(server), socket_(std::move(socket))
+    : server_(server), socket_(std::move(socket)),
+      pipeline_(server.hooks_.concurrent ? max_calls : 1)
 {
 }
 
@@ -49,7 +52,7 @@
 {
     error_code ignored; // without the option, Nagle's algorithm only adds latency
     socket_.set_option(tcp::no_delay(true), ignored);
-    wait_for_request();
+    read_next();
 }
 
 std::string server_connection::client_ip() const
@@ -65,39 +68,80 @@
     deadline_ = timeout == no_timeout ? mono_time::max() : read_clocks().mono + timeout;
 }
 
-void server_connection::wait_for_request()
+bool server_connection::input_open() const
 {
-    parser_.emplace();
-    parser_->header_limit(server_.limits_.header_bytes);
-    parser_->body_limit(server_.limits_.body_bytes);
-    if (buffer_.size() > 0) {
+    return !closed_ && phase_ != phase::ended && phase_ != phase::lingering;
+}
+
+/** Reads the next request, or waits for it, if another may be read now. */
+void server_connection::read_next()
+{
+    enter_phase(phase::between, pipeline_.empty() ? server_.limits_.idle_timeout : no_timeout);
+    bool const stopping = server_.closing_ && !pipeline_.empty();
+    if (pipeline_.accepts() && !stopping && (buffer_.size() > 0 || read_ahead_)) {
         read_header();
+    }
+    else {
+        watch();
+    }
+}
+
+/** Waits for bytes or the end of the connection without reading, so that no buffer is held. */
+void server_connection::watch()
+{
+    if (watching_ || read_ahead_) {
         return;
     }
-    enter_phase(phase::idle, server_.limits_.idle_timeout);
+    watching_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-        if (self->closed_) {
-            return;
-        }
-        if (error) {
-            self->close();
-            return;
+        self->watching_ = false;
+        if (!self->closed_ && self->phase_ != phase::lingering) {
+            self->on_readable(error);
         }
-        self->read_header();
     });
 }
 
+void server_connection::on_readable(error_code error)
+{
+    if (reading_) {
+        return; // the read finds what there is
+    }
+    if (pipeline_.unanswered() && (error || client_left())) {
+        close();
+        return;
+    }
+    // Unread bytes keep the socket readable, so close_if_ended() looks for the end of the
+    // connection until they are read.
+    read_ahead_ = true;
+    if (phase_ == phase::between) {
+        read_next();
+    }
+}
+
 void server_connection::read_header()
 {
+    parser_.emplace();
+    parser_->header_limit(server_.limits_.header_bytes);
+    parser_->body_limit(server_.limits_.body_bytes);
+    read_ahead_ = false;
+    reading_ = true;
     enter_phase(phase::header, server_.limits_.header_timeout);
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code error, std::size_t) {
-                                if (!self->closed_ && !self->refused_) {
+                                if (self->read_ended()) {
                                     self->on_header(error);
                                 }
                             });
 }
 
+/** Notes the end of a read. @return whether its result still counts. */
+bool server_connection::read_ended()
+{
+    reading_ = false;
+    read_ahead_ = read_ahead_ || phase_ == phase::ended;
+    return input_open();
+}
+
 void server_connection::on_header(error_code error)
 {
     if (error == http::error::header_limit) {
@@ -114,7 +158,7 @@
         return;
     }
     if (error) {
-        close();
+        end_input();
         return;
     }
     if (parser_->get().count(http::field::transfer_encoding) > 0 && !parser_->chunked()) {
@@ -127,42 +171,77 @@
         return;
     }
     if (expects_continue(parser_->get()) && !parser_->is_done()) {
-        boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
-                                 [self = shared_from_this()](error_code, std::size_t) {
-                                     if (!self->closed_ && !self->refused_) {
-                                         self->read_body();
-                                     }
-                                 });
+        enter_phase(phase::held, no_timeout);
+        ask_for_body();
         return;
     }
     read_body();
 }
 
+/** Asks the client for the body of a held request once the responses before it are sent. */
+void server_connection::ask_for_body()
+{
+    if (!pipeline_.empty()) {
+        watch();
+        return;
+    }
+    writing_ = true;
+    write_deadline_ = read_clocks().mono + write_timeout;
+    boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
+                             [self = shared_from_this()](error_code, std::size_t) {
+                                 self->writing_ = false;
+                                 self->write_deadline_ = mono_time::max();
+                                 if (self->input_open()) {
+                                     self->read_body();
+                                 }
+                                 self->write_next(); // a refusal of this request
+                             });
+}
+
 void server_connection::read_body()
 {
     if (parser_->is_done()) {
-        dispatch_request();
+        add_call();
         return;
     }
+    read_ahead_ = false;
+    reading_ = true;
     enter_phase(phase::body, server_.limits_.body_timeout);
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](error_code error, std::size_t) {
-                         if (self->closed_ || self->refused_) {
-                             return;
-                         }
-                         if (error == http::error::body_limit) {
-                             self->reject(http::status::payload_too_large);
-                         }
-                         else if (error) {
-                             self->close();
-                         }
-                         else {
-                             self->dispatch_request();
+                         if (self->read_ended()) {
+                             self->on_body(error);
                          }
                      });
 }
 
-void server_connection::dispatch_request()
+void server_connection::on_body(error_code error)
+{
+    if (error == http::error::body_limit) {
+        reject(http::status::payload_too_large);
+    }
+    else if (error) {
+        end_input();
+    }
+    else {
+        add_call();
+    }
+}
+
+/** The client has left or sends nothing usable any more: its responses are all that is left. */
+void server_connection::end_input()
+{
+    bool const left = client_left();
+    if (pipeline_.empty() || (left && pipeline_.unanswered())) {
+        close();
+        return;
+    }
+    pipeline_.end();
+    read_ahead_ = true; // close_if_ended() looks for the end of the connection
+    enter_phase(phase::ended, no_timeout);
+}
+
+void server_connection::add_call()
 {
     if (server_.hooks_.unread) {
         if (auto const unread = time_since_receive(socket_.native_handle())) {
@@ -170,34 +249,26 @@
         }
     }
     if (client_left()) {
-        close();
+        end_input();
         return;
     }
-    enter_phase(phase::call, no_timeout);
-    http_request request = parser_->release();
-    keep_alive_ = request.keep_alive();
-    is_head_ = request.method() == http::verb::head;
-    read_ahead_ = false;
-    call_ = call_id(server_.next_call_++);
-    server_.calls_[*call_] = this;
-    watch_for_disconnect();
-    server_.hooks_.request(*call_, std::move(request));
+    pipelined_call call{call_id(server_.next_call_++), parser_->release()};
+    parser_.reset();
+    call.concurrent = server_.hooks_.concurrent && server_.hooks_.concurrent(call.request);
+    pipeline_.add(std::move(call));
+    enter_phase(phase::between, no_timeout);
+    start_calls();
+    if (!closed_ && phase_ == phase::between) {
+        read_next();
+    }
 }
 
-void server_connection::watch_for_disconnect()
+void server_connection::start_calls()
 {
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-        if (self->closed_ || self->phase_ != phase::call) {
-            return;
-        }
-        if (error || self->client_left()) {
-            self->close();
-            return;
-        }
-        // Bytes of the next request are read after the response to this one. Until then they keep
-        // the socket readable, so close_if_ended() looks for the end of the connection.
-        self->read_ahead_ = true;
-    });
+    while (auto call = pipeline_.start_next()) {
+        server_.calls_[call->id] = this;
+        server_.hooks_.request(call->id, std::move(call->request));
+    }
 }
 
 bool server_connection::client_left()
@@ -206,46 +277,84 @@
     return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-void server_connection::respond(http_response response)
+void server_connection::respond(call_id call, http_response response)
 {
-    call_.reset();
-    write(std::move(response), keep_alive_ && !server_.closing_);
+    pipeline_.respond(call, std::move(response));
+    write_next();
 }
 
+/** Answers the request that is being read, in its turn, and reads no more. */
 void server_connection::reject(http::status status)
 {
-    write(http_response(status, http_version), false);
+    read_ahead_ = true; // close_if_ended() looks for the end of the connection
+    enter_phase(phase::ended, no_timeout);
+    pipeline_.reject(http_response(status, http_version));
+    write_next();
 }
 
-void server_connection::write(http_response response, bool keep_alive)
+void server_connection::write_next()
 {
-    enter_phase(phase::response, write_timeout);
-    response_ = std::move(response);
+    if (closed_ || writing_) {
+        return;
+    }
+    if (auto due = pipeline_.take_response(server_.closing_)) {
+        write(std::move(*due));
+    }
+}
+
+void server_connection::write(due_response due)
+{
+    if (due.closes) {
+        enter_phase(phase::ended, no_timeout);
+        if (reading_) {
+            error_code ignored; // no other operation is pending whose result counts
+            socket_.cancel(ignored);
+        }
+    }
+    writing_ = true;
+    write_deadline_ = read_clocks().mono + write_timeout;
+    response_ = std::move(due.message);
     response_.version(http_version);
-    response_.keep_alive(keep_alive);
+    response_.keep_alive(!due.closes);
     bool const has_no_body = response_.result() == http::status::no_content ||
                              response_.result() == http::status::not_modified;
-    if (!has_no_body && !is_head_) {
+    if (!has_no_body && !due.to_head) {
         response_.content_length(response_.body().size());
     }
-    http::async_write(socket_, response_,
-                      [self = shared_from_this(), keep_alive](error_code error, std::size_t) {
-                          if (!self->closed_) {
-                              self->on_written(error, keep_alive);
-                          }
-                      });
+    http::async_write(
+        socket_, response_,
+        [self = shared_from_this(), closes = due.closes](error_code error, std::size_t) {
+            if (!self->closed_) {
+                self->on_written(error, closes);
+            }
+        });
 }
 
-void server_connection::on_written(error_code error, bool keep_alive)
+void server_connection::on_written(error_code error, bool closes)
 {
+    writing_ = false;
+    write_deadline_ = mono_time::max();
+    response_ = http_response();
+    pipeline_.sent();
     if (error) {
         close();
+        return;
     }
-    else if (keep_alive) {
-        wait_for_request();
-    }
-    else {
+    if (closes || (phase_ == phase::ended && pipeline_.empty())) {
         linger();
+        return;
+    }
+    if (pipeline_.unanswered() && client_left()) {
+        close();
+        return;
+    }
+    start_calls();
+    write_next();
+    if (phase_ == phase::between) {
+        read_next();
+    }
+    else if (phase_ == phase::held) {
+        ask_for_body();
     }
 }
 
@@ -274,25 +383,30 @@
 
 void server_connection::close_if_ended(mono_time now)
 {
-    if (now >= deadline_ || (phase_ == phase::call && read_ahead_ && client_left())) {
+    if (now >= write_deadline_ || (read_ahead_ && pipeline_.unanswered() && client_left())) {
         close();
     }
+    else if (now >= deadline_) {
+        bool const receives = phase_ == phase::header || phase_ == phase::body;
+        if (receives) {
+            end_input();
+        }
+        else {
+            close();
+        }
+    }
 }
 
 void server_connection::refuse_unfinished()
 {
-    if (phase_ != phase::header && phase_ != phase::body) {
-        return;
+    if (phase_ == phase::header || phase_ == phase::held || phase_ == phase::body) {
+        reject(http::status::service_unavailable);
     }
-    refused_ = true; // the pending read ends with an error, which is no failure of the connection
-    error_code ignored;
-    socket_.cancel(ignored);
-    reject(http::status::service_unavailable);
 }
 
 void server_connection::close_if_idle()
 {
-    if (phase_ == phase::idle) {
+    if (phase_ == phase::between && pipeline_.empty()) {
         close();
     }
 }
@@ -307,11 +421,12 @@
     error_code ignored; // a socket that the client has reset may fail to close
     socket_.close(ignored);
     server_.connections_.erase(this);
-    if (call_) {
-        call_id const left = *call_;
-        call_.reset();
-        server_.calls_.erase(left);
-        server_.hooks_.client_disconnected(left);
+    std::vector<call_id> const cancelled = pipeline_.clear();
+    for (call_id const call : cancelled) {
+        server_.calls_.erase(call);
+    }
+    for (call_id const call : cancelled) {
+        server_.hooks_.client_disconnected(call);
     }
 }
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -9,7 +9,7 @@
 
 namespace cove {
 
-/** Reads requests one after the other and writes their responses. */
+/** Reads requests, runs them as its pipeline decides and writes their responses in order. */
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(http_server& server, boost::asio::ip::tcp::socket socket);
@@ -20,8 +20,8 @@
     /** @return the IP of the client; empty if it has disconnected. */
     [[nodiscard]] std::string client_ip() const;
 
-    /** Sends the response to the call in progress. */
-    void respond(http_response response);
+    /** Sends the response to a call in progress once those before it are sent. */
+    void respond(call_id call, http_response response);
 
     /** @return whether the client has closed the connection or its sending side, read or not. */
     [[nodiscard]] bool client_left();
@@ -29,42 +29,53 @@
     /** Closes the connection if its client has left or the timeout of its phase has passed. */
     void close_if_ended(mono_time now);
 
-    /** Answers 503 if a request has arrived in part; its rest is discarded. */
+    /** Answers 503, in its turn, if a request has arrived in part; its rest is discarded. */
     void refuse_unfinished();
 
     /** Closes the connection if it waits for the first byte of a request. */
     void close_if_idle();
 
-    /** Closes the connection; reports a call in progress to the client_disconnected hook. */
+    /** Closes the connection; reports the calls in progress to the client_disconnected hook. */
     void close();
 
 private:
-    enum class phase { idle, header, body, call, response, lingering };
+    /// What is read: nothing or the first byte of a request, its header, nothing until the client
+    /// may be asked for the body, its body, nothing more, bytes to discard before the close.
+    enum class phase { between, header, held, body, ended, lingering };
 
     void enter_phase(phase next, milliseconds timeout);
-    void wait_for_request();
+    [[nodiscard]] bool input_open() const;
+    void read_next();
+    void watch();
+    void on_readable(boost::system::error_code error);
     void read_header();
-    void read_body();
     void on_header(boost::system::error_code error);
-    void dispatch_request();
-    void watch_for_disconnect();
+    void ask_for_body();
+    void read_body();
+    void on_body(boost::system::error_code error);
+    [[nodiscard]] bool read_ended();
+    void end_input();
+    void add_call();
+    void start_calls();
     void reject(boost::beast::http::status status);
-    void write(http_response response, bool keep_alive);
-    void on_written(boost::system::error_code error, bool keep_alive);
+    void write_next();
+    void write(due_response due);
+    void on_written(boost::system::error_code error, bool closes);
     void linger();
 
     http_server& server_;
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
-    http_response response_;
-    std::optional<call_id> call_;
-    phase phase_ = phase::idle;
-    mono_time deadline_{};    ///< end of the current phase
-    bool keep_alive_ = true;  ///< the client allows reuse of the connection
-    bool read_ahead_ = false; ///< bytes have arrived during the call, which hide its end
-    bool is_head_ = false;    ///< the request is a HEAD, so the response has no body
-    bool refused_ = false;    ///< a request was answered before all of it had arrived
+    call_pipeline pipeline_;
+    http_response response_; ///< being written
+    phase phase_ = phase::between;
+    mono_time deadline_{};                        ///< end of the current phase
+    mono_time write_deadline_ = mono_time::max(); ///< end of the current write
+    bool watching_ = false;                       ///< a wait for bytes is pending
+    bool reading_ = false;                        ///< a read is pending
+    bool writing_ = false;                        ///< a write is pending
+    bool read_ahead_ = false; ///< bytes have arrived that are not read, which hide the end
     bool closed_ = false;
 };
 
--- a/tests/support/raw_client.h
+++ b/tests/support/raw_client.h
@@ -37,6 +37,9 @@
         socket_.close();
     }
 
+    /** Closes the sending side only. */
+    void end_sending() { socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
+
     /** @return all that has arrived so far. */
     std::string const& received()
     {
