Bound the targets of a client attempt over a relay by max_attempts

Cause: each host counted attempts from zero, so a request that ran on one target, lost its links and was relayed ran on two more with max_attempts 2. Requests whose attempts were used up were moved to relays too. Change: a relayed request carries Cove-Attempts, the attempts left, and the second host sends it to no more targets; 0 or an unreadable value is refused as not run. A broken relay uses all attempts, a refused one none. A running request without attempts left is not moved to a relay. The field is compiled into the host; no test with sockets was run.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds connect_timeout{300};
 /// Field of a relayed request with the IP of the client; read on the port for other hosts only.
 constexpr char const* client_field = "Cove-Client";
+/// Field of a relayed request with the number of targets that it may still be sent to.
+constexpr char const* attempts_field = "Cove-Attempts";
 constexpr std::uint64_t relayed_id_bit = std::uint64_t{1} << 63U; ///< calls of two servers differ
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
@@ -219,10 +221,32 @@
     open.call = call;
     open.client = to_std_string(request[client_field]);
     request.erase(client_field);
+    open.attempts_left = take_attempts_left(request);
     open.message = std::move(request);
     accept(request_id(call.value | relayed_id_bit), std::move(open), true);
 }
 
+/**
+ * Removes the field with the attempts left from a relayed request.
+ * @return nullopt if there is none, as from hosts of older builds; 0, so that the request is
+ * refused as not run, if it is not a number.
+ */
+std::optional<int> request_forwarder::take_attempts_left(http_request& request)
+{
+    auto const field = request.find(attempts_field);
+    if (field == request.end()) {
+        return std::nullopt;
+    }
+    std::string const text = to_std_string(field->value());
+    request.erase(attempts_field);
+    auto const attempts = read_int(text);
+    if (!attempts) {
+        log_.event("relay_field_malformed", {{"field", attempts_field}, {"value", text}},
+                   read_clocks().mono);
+    }
+    return std::max(0, attempts.value_or(0));
+}
+
 void request_forwarder::accept(request_id id, open_request open, bool relayed)
 {
     if (!routes_) {
@@ -250,6 +274,7 @@
                           deadline ? milliseconds(*deadline) : route->timeout,
                           open.fingerprint,
                           relayed};
+    event.terms.attempts_left = open.attempts_left;
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
@@ -364,6 +389,7 @@
     http_request message = open.message;
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(client_field, open.client);
+    message.set(attempts_field, std::to_string(effect.attempts_left));
     message.prepare_payload();
     open.pool = &relay_pool_;
     open.peer = target_id(effect.address);
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -103,9 +103,10 @@
 private:
     struct open_request {
         http_request message;
-        http_server* server = nullptr; ///< through which it came
-        call_id call;                  ///< of that server
-        std::string client;            ///< IP
+        http_server* server = nullptr;    ///< through which it came
+        call_id call;                     ///< of that server
+        std::string client;               ///< IP
+        std::optional<int> attempts_left; ///< if another host relays it
         std::string attempt_id;
         request_fingerprint fingerprint;
         std::shared_ptr<route_config const> route;
@@ -132,6 +133,7 @@
     void execute(relay_request const& effect);
     void execute(probe_target const& effect);
     void execute(links_changed const& effect);
+    std::optional<int> take_attempts_left(http_request& request);
     void accept(request_id id, open_request open, bool relayed);
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -54,6 +54,8 @@
     request.client = event.client;
     request.fingerprint = event.fingerprint;
     request.relayed = event.relayed;
+    request.max_attempts = std::min(event.route->max_attempts,
+                                    event.terms.attempts_left.value_or(event.route->max_attempts));
     if (auto const first_arrived = refused_requests_.take(identity_of(request), now_)) {
         request.is_client_retry = true;
         request.elapsed_before = now_ - *first_arrived;
@@ -63,6 +65,11 @@
         refuse(event.id, refusal::blocked, milliseconds{0});
         return;
     }
+    if (request.max_attempts <= 0) {
+        requests_.emplace(event.id, std::move(request));
+        refuse(event.id, refusal::no_room, milliseconds{0});
+        return;
+    }
     retry_limiter_.add_request(event.service, now_);
     if (event.route->sticky && !event.object.value.empty()) {
         object_balances_[event.service].use(short_hash(event.object), now_);
@@ -172,7 +179,7 @@
 
 bool traffic::retry(pending_request& request)
 {
-    if (request.attempts >= request.route->max_attempts || now_ >= request.expires) {
+    if (request.attempts >= request.max_attempts || now_ >= request.expires) {
         return false;
     }
     if (!retry_limiter_.take(request.service, hosts_in_total_, now_)) {
@@ -493,8 +500,7 @@
 /** Moves an idempotent request to another target if one can take it immediately. */
 void traffic::retry_on_other_target(pending_request& request)
 {
-    if (request.attempts >= request.route->max_attempts ||
-        crashes_.blocked(request.fingerprint, now_)) {
+    if (request.attempts >= request.max_attempts || crashes_.blocked(request.fingerprint, now_)) {
         return;
     }
     target_id const previous = *request.target;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -42,7 +42,8 @@
     mono_time deadline;            ///< deadline of the client
     std::string client;
     request_fingerprint fingerprint;
-    int attempts = 0;
+    int max_attempts = 1; ///< targets that this host may send it to, or let other hosts send it to
+    int attempts = 0;     ///< of these, used so far
     int unsent_attempts = 0;      ///< that got no connection
     bool is_client_retry = false; ///< the client retries after a refusal
     bool may_have_run = false;
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -63,6 +63,7 @@
     std::string address; ///< IP:port of the host
     milliseconds time_left{};
     bool idempotent = false;
+    int attempts_left = 1; ///< number of targets that the other host may send it to, 1 or more
 };
 
 /** Test whether the target takes connections, and report it with probe_ended. */
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -53,6 +53,7 @@
 {
     for (auto& [id, request] : requests_) {
         if (!request.target || !request.route->idempotent || request.relayed ||
+            request.attempts >= request.max_attempts ||
             !retry_limiter_.take(request.service, hosts_in_total_, now_)) {
             continue;
         }
@@ -74,10 +75,13 @@
     return !request.relayed && place < share && choose_relay(request) != nullptr;
 }
 
-/** @return the nearest host that may carry the request and was not asked yet, or null. */
+/**
+ * @return the nearest host that may carry the request and was not asked yet, or null. There is none
+ * if no attempts are left.
+ */
 relay_host const* traffic::choose_relay(pending_request const& request) const
 {
-    if (request.relays.size() >= max_relays) {
+    if (request.relays.size() >= max_relays || request.attempts >= request.max_attempts) {
         return nullptr;
     }
     relay_host const* best = nullptr;
@@ -108,14 +112,13 @@
     request.relays.insert(host->address);
     request.queued_for = nullptr;
     request.sent = now_;
-    ++request.attempts;
     sent_.add(now_);
     if (in_other_region(host->zone)) {
         sent_cross_region_.add(now_);
     }
     effects_.emplace_back(relay_request{
         request.id, host->address, std::chrono::duration_cast<milliseconds>(request.expires - now_),
-        request.route->idempotent});
+        request.route->idempotent, request.max_attempts - request.attempts});
     return true;
 }
 
@@ -134,10 +137,10 @@
     }
     bool const may_have_run = event.end == relay_end::broken;
     request.may_have_run = request.may_have_run || may_have_run;
-    bool const may_send =
-        !may_have_run ||
-        (request.route->idempotent && retry_limiter_.take(request.service, hosts_in_total_, now_));
-    if (may_send && now_ < request.expires && choose_relay(request) != nullptr) {
+    if (may_have_run) {
+        request.attempts = request.max_attempts; // the other host may have used all of them
+    }
+    if (now_ < request.expires && choose_relay(request) != nullptr) {
         relay(request);
     }
     else if (event.end == relay_end::refused && !request.may_have_run) {
--- a/tests/traffic/relay_test.cpp
+++ b/tests/traffic/relay_test.cpp
@@ -119,6 +119,15 @@
 
     /** Fails attempts and the probes that follow. */
     void cut()
+    {
+        lose_links();
+        advance(deadline + milliseconds{100}); // the requests so far have expired
+        ASSERT_EQ(reducer.open_requests(), 0U);
+        advance_effects.clear();
+    }
+
+    /** As cut(), without the wait for the requests so far. */
+    void lose_links()
     {
         for (int i = 0; i < 12 && !reducer.cut_off(); ++i) {
             request_id const id = arrive("o" + std::to_string(i));
@@ -135,10 +144,18 @@
             feed(probe_ended{false});
         }
         ASSERT_TRUE(reducer.cut_off());
-        EXPECT_TRUE(single<links_changed>().has_value());
-        advance(deadline + milliseconds{100}); // the requests so far have expired
-        ASSERT_EQ(reducer.open_requests(), 0U);
-        advance_effects.clear();
+        EXPECT_EQ(of_kind<links_changed>(effects).size(), 1U);
+    }
+
+    /** A request that another host relays with @p attempts_left. */
+    void arrive_relayed(int attempts_left)
+    {
+        request_arrived event{
+            request_id(999), std::make_shared<route_config const>(route), desk, object_key(""), "c",
+            deadline};
+        event.relayed = true;
+        event.terms.attempts_left = attempts_left;
+        feed(event);
     }
 
     relay_host const same_zone{zone_id("home"), "10.0.0.1:7"};
@@ -231,6 +248,88 @@
     EXPECT_EQ(single<answer_locally>()->reason, refusal::lost_answer);
 }
 
+// One client attempt ran on three targets with max_attempts 2: each host counted from zero.
+TEST_F(relay_case, the_second_host_makes_no_more_attempts_than_are_left)
+{
+    list(6);
+    arrive_relayed(1);
+    ASSERT_TRUE(single<send_attempt>());
+    end(request_id(999), single<send_attempt>()->target, attempt_end::broken);
+    EXPECT_TRUE(of_kind<send_attempt>(effects).empty());
+    ASSERT_TRUE(single<answer_locally>());
+    EXPECT_EQ(single<answer_locally>()->reason, refusal::lost_answer);
+}
+
+TEST_F(relay_case, more_attempts_left_than_the_route_has_do_not_count)
+{
+    route.max_attempts = 1;
+    list(6);
+    arrive_relayed(5);
+    ASSERT_TRUE(single<send_attempt>());
+    end(request_id(999), single<send_attempt>()->target, attempt_end::broken);
+    EXPECT_TRUE(of_kind<send_attempt>(effects).empty());
+}
+
+TEST_F(relay_case, a_relayed_request_without_attempts_left_is_refused_as_not_run)
+{
+    list(6);
+    arrive_relayed(0);
+    EXPECT_TRUE(of_kind<send_attempt>(effects).empty());
+    ASSERT_TRUE(single<answer_locally>());
+    EXPECT_EQ(single<answer_locally>()->reason, refusal::no_room);
+}
+
+class relay_attempts_case : public relay_case, public testing::WithParamInterface<int> {};
+
+TEST_P(relay_attempts_case, targets_that_ran_a_request_before_the_cut_count_over_the_relay)
+{
+    route.max_attempts = GetParam();
+    route.timeout = deadline = milliseconds{20'000};
+    list(6);
+    request_id const id = arrive("first");
+    traffic_effects all = effects;
+    lose_links();
+    all.insert(all.end(), advance_effects.begin(), advance_effects.end());
+    report_relays({same_zone});
+    all.insert(all.end(), effects.begin(), effects.end());
+    int used = 0;
+    for (auto const& sent : of_kind<send_attempt>(all)) {
+        used += sent.id == id ? 1 : 0;
+    }
+    EXPECT_GE(used, 1);
+    for (auto const& relayed : of_kind<relay_request>(all)) {
+        used += relayed.id == id ? relayed.attempts_left : 0;
+    }
+    EXPECT_EQ(used, GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(max_attempts, relay_attempts_case, testing::Values(1, 2, 3));
+
+TEST_F(relay_case, after_a_failed_relay_no_attempts_are_left)
+{
+    list(6);
+    cut();
+    report_relays({same_zone, same_zone_too});
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    EXPECT_EQ(single<relay_request>()->attempts_left, 2);
+    feed(relay_ended{id, relay_end::broken});
+    EXPECT_TRUE(of_kind<relay_request>(effects).empty());
+    ASSERT_TRUE(single<answer_locally>());
+    EXPECT_EQ(single<answer_locally>()->reason, refusal::lost_answer);
+}
+
+TEST_F(relay_case, a_refused_relay_uses_no_attempt)
+{
+    list(6);
+    cut();
+    report_relays({same_zone, same_zone_too});
+    request_id const id = arrive();
+    feed(relay_ended{id, relay_end::refused});
+    ASSERT_TRUE(single<relay_request>());
+    EXPECT_EQ(single<relay_request>()->attempts_left, 2);
+}
+
 TEST_F(relay_case, a_client_that_leaves_ends_the_relay)
 {
     list(6);
