Apply priority and home regions of a request's workspace in the placement

Cause: request_terms carry the priority and home regions of a workspace, and the reducer used only those of the route. Change: the priority replaces that of the route in the queue. A zone is allowed if both lists of home regions allow it, for targets and for relays. Without a common region the request is refused as not run before it is queued, also when another host relays it.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -20,6 +20,14 @@
     return {request.client, request.route->name.value, request.object};
 }
 
+/** @return whether a region is in both lists of home regions; an empty list means any region. */
+bool share_region(std::vector<region_id> const& a, std::vector<region_id> const& b)
+{
+    return a.empty() || b.empty() || std::any_of(a.begin(), a.end(), [&b](region_id const& region) {
+               return std::find(b.begin(), b.end(), region) != b.end();
+           });
+}
+
 } // namespace
 
 traffic::traffic(traffic_settings settings)
@@ -54,6 +62,8 @@
     request.client = event.client;
     request.fingerprint = event.fingerprint;
     request.relayed = event.relayed;
+    request.priority = event.terms.priority.value_or(event.route->priority);
+    request.home_regions = event.terms.home_regions;
     request.max_attempts = std::min(event.route->max_attempts,
                                     event.terms.attempts_left.value_or(event.route->max_attempts));
     if (auto const first_arrived = refused_requests_.take(identity_of(request), now_)) {
@@ -65,6 +75,11 @@
         refuse(event.id, refusal::blocked, milliseconds{0});
         return;
     }
+    if (!share_region(event.route->home_regions, request.home_regions)) {
+        requests_.emplace(event.id, std::move(request));
+        refuse(event.id, refusal::no_target, milliseconds{0});
+        return;
+    }
     if (request.max_attempts <= 0) {
         requests_.emplace(event.id, std::move(request));
         refuse(event.id, refusal::no_room, milliseconds{0});
@@ -570,8 +585,7 @@
 bool traffic::comes_before(pending_request const& a, pending_request const& b) const
 {
     auto const rank = [this](pending_request const& r) {
-        return std::tuple(objective_missed(r), r.route->priority, !r.is_client_retry, r.arrived,
-                          r.id);
+        return std::tuple(objective_missed(r), r.priority, !r.is_client_retry, r.arrived, r.id);
     };
     return rank(a) < rank(b);
 }
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -42,6 +42,8 @@
     mono_time deadline;            ///< deadline of the client
     std::string client;
     request_fingerprint fingerprint;
+    int priority = 0;                    ///< 0 is the highest
+    std::vector<region_id> home_regions; ///< of its workspace; bind beside those of the route
     int max_attempts = 1; ///< targets that this host may send it to, or let other hosts send it to
     int attempts = 0;     ///< of these, used so far
     int unsent_attempts = 0;      ///< that got no connection
@@ -191,7 +193,7 @@
 
     [[nodiscard]] bool in_other_region(zone_id const& zone) const;
     bool cross_region_allowed(placement_round const& round);
-    [[nodiscard]] bool zone_allowed(route_config const& route, zone_id const& zone) const;
+    [[nodiscard]] bool zone_allowed(pending_request const& request, zone_id const& zone) const;
     [[nodiscard]] send_rates rates_for(target_state const& target) const;
     [[nodiscard]] double usable_slots(target_state const& target) const;
     [[nodiscard]] int remote_running(zone_id const& zone, service_id const& service) const;
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -83,15 +83,16 @@
                    [](auto const* request) { return request->id; });
 }
 
-bool traffic::zone_allowed(route_config const& route, zone_id const& zone) const
+/** @return whether @p zone is in the home regions of the route and of the workspace. */
+bool traffic::zone_allowed(pending_request const& request, zone_id const& zone) const
 {
-    if (route.home_regions.empty()) {
-        return true;
-    }
     auto const region = settings_.regions.find(zone);
-    return region != settings_.regions.end() &&
-           std::find(route.home_regions.begin(), route.home_regions.end(), region->second) !=
-               route.home_regions.end();
+    auto const contains_zone = [&](std::vector<region_id> const& home_regions) {
+        return home_regions.empty() || (region != settings_.regions.end() &&
+                                        std::find(home_regions.begin(), home_regions.end(),
+                                                  region->second) != home_regions.end());
+    };
+    return contains_zone(request.route->home_regions) && contains_zone(request.home_regions);
 }
 
 bool traffic::in_other_region(zone_id const& zone) const
@@ -245,7 +246,7 @@
                                 hits->second.value()};
     auto options = rank_targets(query, service_times_.of(*request.route), candidates, ranks);
     std::erase_if(options, [&](placement_option const& option) {
-        return !zone_allowed(*request.route, option.candidate->target->entry().zone);
+        return !zone_allowed(request, option.candidate->target->entry().zone);
     });
     auto const untried = [&](placement_option const& option) {
         return !request.tried.contains(option.candidate->target->entry().id);
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -87,7 +87,7 @@
     relay_host const* best = nullptr;
     std::pair<int, std::uint64_t> best_rank;
     for (relay_host const& host : relays_) {
-        if (!zone_allowed(*request.route, host.zone) || request.relays.contains(host.address)) {
+        if (!zone_allowed(request, host.zone) || request.relays.contains(host.address)) {
             continue;
         }
         int const distance = host.zone == settings_.zone ? 0 : (in_other_region(host.zone) ? 2 : 1);
