Send requests of another home region outside the cap on shifts

Their share does not change, so they shift nothing. Change: such requests are bound by the quota of the target's zone alone. They count neither as sent nor as shifted, so what others may shift does not depend on them.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -64,6 +64,7 @@
     request.relayed = event.relayed;
     request.priority = event.terms.priority.value_or(event.route->priority);
     request.home_regions = event.terms.home_regions;
+    request.home_elsewhere = !zone_allowed(request, settings_.zone);
     request.max_attempts = std::min(event.route->max_attempts,
                                     event.terms.attempts_left.value_or(event.route->max_attempts));
     if (auto const first_arrived = refused_requests_.take(identity_of(request), now_)) {
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -44,6 +44,7 @@
     request_fingerprint fingerprint;
     int priority = 0;                    ///< 0 is the highest
     std::vector<region_id> home_regions; ///< of its workspace; bind beside those of the route
+    bool home_elsewhere = false;         ///< its home regions exclude the region of this host
     int max_attempts = 1; ///< targets that this host may send it to, or let other hosts send it to
     int attempts = 0;     ///< of these, used so far
     int unsent_attempts = 0;      ///< that got no connection
@@ -191,8 +192,9 @@
     void check_attempt(pending_request& request);
     void retry_on_other_target(pending_request& request);
 
+    void count_sent(pending_request const& request, zone_id const& zone);
     [[nodiscard]] bool in_other_region(zone_id const& zone) const;
-    bool cross_region_allowed(placement_round const& round);
+    bool cross_region_allowed(pending_request const& request, placement_round const& round);
     [[nodiscard]] bool zone_allowed(pending_request const& request, zone_id const& zone) const;
     [[nodiscard]] send_rates rates_for(target_state const& target) const;
     [[nodiscard]] double usable_slots(target_state const& target) const;
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -103,15 +103,31 @@
            own->second != other->second;
 }
 
+/**
+ * Counts a request that is sent to @p zone for the shift cap. Those of other home regions always
+ * leave this region, so they shift nothing.
+ */
+void traffic::count_sent(pending_request const& request, zone_id const& zone)
+{
+    if (request.home_elsewhere) {
+        return;
+    }
+    sent_.add(now_);
+    if (in_other_region(zone)) {
+        sent_cross_region_.add(now_);
+    }
+}
+
 /**
  * Keeps the part of the requests that leaves the region so small that it can come and go without
- * exceeding the shift cap. The other half of the cap is left to the look-ups.
+ * exceeding the shift cap. The other half of the cap is left to the look-ups. Requests of other
+ * home regions are outside the cap.
  */
-bool traffic::cross_region_allowed(placement_round const& round)
+bool traffic::cross_region_allowed(pending_request const& request, placement_round const& round)
 {
     constexpr double share_of_cap = 0.5;
-    if (round.local.empty()) {
-        return true; // the zone has lost its targets
+    if (request.home_elsewhere || round.local.empty()) {
+        return true; // the latter: the zone has lost its targets
     }
     auto const sent = static_cast<double>(sent_.count(now_) + 1);
     return static_cast<double>(sent_cross_region_.count(now_) + 1) <=
@@ -391,7 +407,7 @@
         keep_waiting();
         return;
     }
-    bool const may_leave_region = cross_region_allowed(round);
+    bool const may_leave_region = cross_region_allowed(request, round);
     for (placement_option const& option : remote_options(request, round)) {
         if (!may_leave_region && in_other_region(option.candidate->target->entry().zone)) {
             continue;
@@ -448,10 +464,7 @@
     request.object_age = option.object_age;
     request.rank = option.rank;
     ++request.attempts;
-    sent_.add(now_);
-    if (in_other_region(entry.zone)) {
-        sent_cross_region_.add(now_);
-    }
+    count_sent(request, entry.zone);
     target.attempt_sent(request.id, request.object, option.service_ms, now_);
     option.candidate->load += 1;
     effects_.push_back(
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -112,10 +112,7 @@
     request.relays.insert(host->address);
     request.queued_for = nullptr;
     request.sent = now_;
-    sent_.add(now_);
-    if (in_other_region(host->zone)) {
-        sent_cross_region_.add(now_);
-    }
+    count_sent(request, host->zone);
     effects_.emplace_back(relay_request{
         request.id, host->address, std::chrono::duration_cast<milliseconds>(request.expires - now_),
         request.route->idempotent, request.max_attempts - request.attempts});
--- a/tests/traffic/request_terms_test.cpp
+++ b/tests/traffic/request_terms_test.cpp
@@ -110,5 +110,66 @@
     EXPECT_EQ(reducer.open_requests(), 0U);
 }
 
+// 182 of 193 requests whose home is another region were refused: the cap on shifts held them.
+TEST_F(request_terms_case, requests_of_another_home_region_are_outside_the_cap_on_shifts)
+{
+    list_both(20);
+    for (bool const by_route : {true, false}) {
+        route.home_regions = by_route ? there : std::vector<region_id>{};
+        for (int i = 0; i < 10; ++i) {
+            arrive_with({{}, {}, by_route ? std::vector<region_id>{} : there, {}});
+            EXPECT_EQ(zones_used(), "a");
+        }
+    }
+}
+
+TEST_F(request_terms_case, requests_of_another_home_region_are_bound_by_quota)
+{
+    list_both(20, 4);
+    route.home_regions = there;
+    std::string used;
+    for (int i = 0; i < 10; ++i) {
+        arrive_with({});
+        used += zones_used();
+    }
+    EXPECT_EQ(used, "aaaa");
+}
+
+// Counted as sent, they would raise the number of others that may change region; counted as
+// shifted, they would use it up.
+TEST_F(request_terms_case, requests_of_another_home_region_do_not_change_the_cap_for_others)
+{
+    auto const shifted = [this](int homed) {
+        now += seconds{10};
+        list_both(1, 1000);
+        std::vector<std::pair<request_id, target_id>> open;
+        auto const take = [&] {
+            for (auto const& sent : of_kind<send_attempt>(effects)) {
+                open.emplace_back(sent.id, sent.target);
+            }
+        };
+        route.home_regions = there;
+        for (int i = 0; i < homed; ++i) {
+            arrive_with({});
+            for (auto const& sent : of_kind<send_attempt>(effects)) {
+                end(sent.id, sent.target, attempt_end::succeeded);
+            }
+        }
+        route.home_regions.clear();
+        for (int i = 0; i < 40; ++i) {
+            arrive_with({});
+            take();
+        }
+        auto const away = std::count_if(
+            open.begin(), open.end(), [](auto const& item) { return item.second.value[0] == 'a'; });
+        for (auto const& [id, target] : open) {
+            feed(client_disconnected{id});
+        }
+        advance(deadline + milliseconds{100});
+        return away;
+    };
+    EXPECT_EQ(shifted(0), shifted(60));
+}
+
 } // namespace
 } // namespace cove
