Scale the expected time of a target by the slowness that it reports

Cause: targets may report a fourth load figure, how long work takes on their machine now, in percent. It was not read, so a machine that had become slow got requests until measured times showed it. Change: read_load_field reads it; target_state keeps a mean of it with a weight of 0.3, which returns to 1 without answers, and scales the slowness by it. Measured times count relative to it, so neither is counted twice. Targets without the figure are rated as before.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash_func.h"
 #include "http/forwarding.h"
+#include "traffic/load_field.h"
 
 #include <algorithm>
 #include <array>
@@ -483,12 +484,7 @@
 
 std::optional<target_load> request_forwarder::parse_load(http_response const& response) const
 {
-    std::string const text = to_std_string(response[names_.load]);
-    target_load load;
-    if (std::sscanf(text.c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots) != 3) {
-        return std::nullopt;
-    }
-    return load;
+    return read_load_field(to_std_string(response[names_.load]));
 }
 
 target_notice request_forwarder::parse_notice(http_response const& response) const
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -12,10 +12,15 @@
 constexpr milliseconds unreported_half_life{400}; ///< by then, other hosts have reported them
 constexpr milliseconds slowness_half_life{2000};  ///< how soon a slow target is tried again
 constexpr milliseconds failures_half_life{2000};  ///< how soon a failing target is tried again
+/// After this time without answers half of what the target has reported of its machine counts.
+constexpr milliseconds reported_slowness_half_life{1000};
 constexpr double unreported_weight = 0.5;
 constexpr double slowness_weight = 0.3;
+/// The figure changes many times a second; a mean over about three answers follows its trend.
+constexpr double reported_slowness_weight = 0.3;
 constexpr double failures_weight = 0.2;
 constexpr double max_slowness = 20;          ///< a target this slow gets no requests anyway
+constexpr double min_slowness = 0.05;        ///< a lower figure is taken for a fault of the target
 constexpr double overdue_factor = 4;         ///< answers that are this late are mostly lost
 constexpr double overdue_floor_ms = 250;     ///< shorter delays are common on a busy host
 constexpr milliseconds initial_backoff{200}; ///< wait after the first failed connection
@@ -66,6 +71,7 @@
     : entry_(std::move(entry)), id_hash_(stable_hash(entry_.id.value)),
       unreported_(0, unreported_half_life, unreported_weight),
       slowness_(1, slowness_half_life, slowness_weight),
+      reported_slowness_(1, reported_slowness_half_life, reported_slowness_weight),
       failure_rate_(0, failures_half_life, failures_weight), sent_last_second_(one_second),
       cold_until_(now + entry_.cold_left)
 {
@@ -146,6 +152,11 @@
     return true;
 }
 
+double target_state::slowness(mono_time now) const
+{
+    return std::min(slowness_.at(now) * reported_slowness_.at(now), max_slowness);
+}
+
 int target_state::own_load(mono_time now) const
 {
     int count = 0;
@@ -179,6 +190,9 @@
 {
     double const all = load.running + load.waiting;
     unreported_.add(all - own_load(now) - peers_running_, now);
+    if (load.slowness) {
+        reported_slowness_.add(std::clamp(*load.slowness, min_slowness, max_slowness), now);
+    }
 }
 
 void target_state::record_limit(std::optional<double> limit, mono_time now)
@@ -237,6 +251,7 @@
                                  milliseconds cold_period, mono_time now)
 {
     running_.erase(event.id);
+    double const beyond_reported = time_ratio / reported_slowness_.at(now);
     if (event.load) {
         record_load(*event.load, now);
     }
@@ -257,7 +272,7 @@
     bool const asks_for_pause = event.notice && event.notice->pause > milliseconds{0};
     switch (event.end) {
     case attempt_end::succeeded:
-        slowness_.add(std::min(time_ratio, max_slowness), now);
+        slowness_.add(std::min(beyond_reported, max_slowness), now);
         failure_rate_.add(0, now);
         break;
     case attempt_end::failed:
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -121,8 +121,11 @@
     /** @return whether this host has sent no request to the target recently. */
     [[nodiscard]] bool idle(mono_time now) const;
 
-    /** @return service time relative to the expected one; 1 is normal. */
-    [[nodiscard]] double slowness(mono_time now) const { return slowness_.at(now); }
+    /**
+     * @return service time relative to the expected one, by measured times and by what the target
+     * reports of its machine; 1 is normal.
+     */
+    [[nodiscard]] double slowness(mono_time now) const;
 
     /** @return share of recent attempts that failed, 0 to 1. */
     [[nodiscard]] double failure_rate(mono_time now) const { return failure_rate_.at(now); }
@@ -137,7 +140,7 @@
 
     /**
      * Updates load, speed and failure statistics after an attempt.
-     * @param time_ratio observed service time divided by the expected one.
+     * @param time_ratio observed service time divided by the one expected at a slowness of 1.
      */
     void attempt_ended(attempt_ended const& event, double time_ratio, milliseconds cold_period,
                        mono_time now);
@@ -155,7 +158,8 @@
     std::map<request_id, running_attempt> running_;
     int peers_running_ = 0;     ///< requests of the other hosts of the zone, by their reports
     decaying_value unreported_; ///< load shown by answers of the target minus known requests
-    decaying_value slowness_;
+    decaying_value slowness_;   ///< measured, beyond the reported one
+    decaying_value reported_slowness_; ///< short mean of what the target reports of its machine
     decaying_value failure_rate_;
     rate_window sent_last_second_;
     rate_limit_notice limit_;
