--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -20,6 +20,14 @@
     return {request.client, request.route->name.value, request.object};
 }
 
+/** @return whether a region is in both lists of home regions; an empty list means any region. */
+bool share_region(std::vector<region_id> const& a, std::vector<region_id> const& b)
+{
+    return a.empty() || b.empty() || std::any_of(a.begin(), a.end(), [&b](region_id const& region) {
+               return std::find(b.begin(), b.end(), region) != b.end();
+           });
+}
+
 } // namespace
 
 traffic::traffic(traffic_settings settings)
@@ -54,6 +62,11 @@
     request.client = event.client;
     request.fingerprint = event.fingerprint;
     request.relayed = event.relayed;
+    request.priority = event.terms.priority.value_or(event.route->priority);
+    request.home_regions = event.terms.home_regions;
+    request.home_elsewhere = !zone_allowed(request, settings_.zone);
+    request.max_attempts = std::min(event.route->max_attempts,
+                                    event.terms.attempts_left.value_or(event.route->max_attempts));
     if (auto const first_arrived = refused_requests_.take(identity_of(request), now_)) {
         request.is_client_retry = true;
         request.elapsed_before = now_ - *first_arrived;
@@ -63,6 +76,16 @@
         refuse(event.id, refusal::blocked, milliseconds{0});
         return;
     }
+    if (!share_region(event.route->home_regions, request.home_regions)) {
+        requests_.emplace(event.id, std::move(request));
+        refuse(event.id, refusal::no_target, milliseconds{0});
+        return;
+    }
+    if (request.max_attempts <= 0) {
+        requests_.emplace(event.id, std::move(request));
+        refuse(event.id, refusal::no_room, milliseconds{0});
+        return;
+    }
     retry_limiter_.add_request(event.service, now_);
     if (event.route->sticky && !event.object.value.empty()) {
         object_balances_[event.service].use(short_hash(event.object), now_);
@@ -172,7 +195,7 @@
 
 bool traffic::retry(pending_request& request)
 {
-    if (request.attempts >= request.route->max_attempts || now_ >= request.expires) {
+    if (request.attempts >= request.max_attempts || now_ >= request.expires) {
         return false;
     }
     if (!retry_limiter_.take(request.service, hosts_in_total_, now_)) {
@@ -493,8 +516,7 @@
 /** Moves an idempotent request to another target if one can take it immediately. */
 void traffic::retry_on_other_target(pending_request& request)
 {
-    if (request.attempts >= request.route->max_attempts ||
-        crashes_.blocked(request.fingerprint, now_)) {
+    if (request.attempts >= request.max_attempts || crashes_.blocked(request.fingerprint, now_)) {
         return;
     }
     target_id const previous = *request.target;
@@ -564,8 +586,7 @@
 bool traffic::comes_before(pending_request const& a, pending_request const& b) const
 {
     auto const rank = [this](pending_request const& r) {
-        return std::tuple(objective_missed(r), r.route->priority, !r.is_client_retry, r.arrived,
-                          r.id);
+        return std::tuple(objective_missed(r), r.priority, !r.is_client_retry, r.arrived, r.id);
     };
     return rank(a) < rank(b);
 }
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -83,15 +83,16 @@
                    [](auto const* request) { return request->id; });
 }
 
-bool traffic::zone_allowed(route_config const& route, zone_id const& zone) const
+/** @return whether @p zone is in the home regions of the route and of the workspace. */
+bool traffic::zone_allowed(pending_request const& request, zone_id const& zone) const
 {
-    if (route.home_regions.empty()) {
-        return true;
-    }
     auto const region = settings_.regions.find(zone);
-    return region != settings_.regions.end() &&
-           std::find(route.home_regions.begin(), route.home_regions.end(), region->second) !=
-               route.home_regions.end();
+    auto const contains_zone = [&](std::vector<region_id> const& home_regions) {
+        return home_regions.empty() || (region != settings_.regions.end() &&
+                                        std::find(home_regions.begin(), home_regions.end(),
+                                                  region->second) != home_regions.end());
+    };
+    return contains_zone(request.route->home_regions) && contains_zone(request.home_regions);
 }
 
 bool traffic::in_other_region(zone_id const& zone) const
@@ -102,15 +103,31 @@
            own->second != other->second;
 }
 
+/**
+ * Counts a request that is sent to @p zone for the shift cap. Those of other home regions always
+ * leave this region, so they shift nothing.
+ */
+void traffic::count_sent(pending_request const& request, zone_id const& zone)
+{
+    if (request.home_elsewhere) {
+        return;
+    }
+    sent_.add(now_);
+    if (in_other_region(zone)) {
+        sent_cross_region_.add(now_);
+    }
+}
+
 /**
  * Keeps the part of the requests that leaves the region so small that it can come and go without
- * exceeding the shift cap. The other half of the cap is left to the look-ups.
+ * exceeding the shift cap. The other half of the cap is left to the look-ups. Requests of other
+ * home regions are outside the cap.
  */
-bool traffic::cross_region_allowed(placement_round const& round)
+bool traffic::cross_region_allowed(pending_request const& request, placement_round const& round)
 {
     constexpr double share_of_cap = 0.5;
-    if (round.local.empty()) {
-        return true; // the zone has lost its targets
+    if (request.home_elsewhere || round.local.empty()) {
+        return true; // the latter: the zone has lost its targets
     }
     auto const sent = static_cast<double>(sent_.count(now_) + 1);
     return static_cast<double>(sent_cross_region_.count(now_) + 1) <=
@@ -245,7 +262,7 @@
                                 hits->second.value()};
     auto options = rank_targets(query, service_times_.of(*request.route), candidates, ranks);
     std::erase_if(options, [&](placement_option const& option) {
-        return !zone_allowed(*request.route, option.candidate->target->entry().zone);
+        return !zone_allowed(request, option.candidate->target->entry().zone);
     });
     auto const untried = [&](placement_option const& option) {
         return !request.tried.contains(option.candidate->target->entry().id);
@@ -390,7 +407,7 @@
         keep_waiting();
         return;
     }
-    bool const may_leave_region = cross_region_allowed(round);
+    bool const may_leave_region = cross_region_allowed(request, round);
     for (placement_option const& option : remote_options(request, round)) {
         if (!may_leave_region && in_other_region(option.candidate->target->entry().zone)) {
             continue;
@@ -447,10 +464,7 @@
     request.object_age = option.object_age;
     request.rank = option.rank;
     ++request.attempts;
-    sent_.add(now_);
-    if (in_other_region(entry.zone)) {
-        sent_cross_region_.add(now_);
-    }
+    count_sent(request, entry.zone);
     target.attempt_sent(request.id, request.object, option.service_ms, now_);
     option.candidate->load += 1;
     effects_.push_back(
