Order queued requests by slack and fair share of their workspace

Cause: requests of the same priority were sent by arrival, so a workspace that asked for four times the capacity took it from one that asked for a hundredth. Requests that could no longer meet their objective came before others until the objective had passed. Change: src/admission/ has the queue order (can meet the objective, priority, within the fair share, client retries, slack) and workspace_shares, which tells from decayed counts which workspaces have had their max-min fair share. Requests without workspace share as one, so only the order by slack is new to them. The decisions to wait, refuse or go elsewhere stay in traffic_placement.cpp.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds cross_region_window{2000};
 /// Targets to which a request tries in vain to connect. They cost no retry budget.
 constexpr int max_unsent_attempts = 3;
+constexpr double us_per_ms = 1000;
 /// Time for an answer that the target sends at the deadline to arrive.
 constexpr milliseconds timeout_grace{60};
 
@@ -62,15 +63,15 @@
     request.client = event.client;
     request.fingerprint = event.fingerprint;
     request.relayed = event.relayed;
-    request.priority = event.terms.priority.value_or(event.route->priority);
+    request.workspace = event.terms.workspace;
     request.home_regions = event.terms.home_regions;
     request.home_elsewhere = !zone_allowed(request, settings_.zone);
     request.max_attempts = std::min(event.route->max_attempts,
                                     event.terms.attempts_left.value_or(event.route->max_attempts));
-    if (auto const first_arrived = refused_requests_.take(identity_of(request), now_)) {
-        request.is_client_retry = true;
-        request.elapsed_before = now_ - *first_arrived;
-    }
+    auto const first_arrived = refused_requests_.take(identity_of(request), now_);
+    request.elapsed_before = first_arrived ? now_ - *first_arrived : microseconds{0};
+    request.place = place_of(event, request);
+    request.place.client_retry = first_arrived.has_value();
     if (crashes_.blocked(event.fingerprint, now_)) {
         requests_.emplace(event.id, std::move(request));
         refuse(event.id, refusal::blocked, milliseconds{0});
@@ -87,6 +88,8 @@
         return;
     }
     retry_limiter_.add_request(event.service, now_);
+    workspace_shares_[event.service].asked(request.place.priority, request.workspace, now_);
+    update_share(request);
     if (event.route->sticky && !event.object.value.empty()) {
         object_balances_[event.service].use(short_hash(event.object), now_);
     }
@@ -576,19 +579,25 @@
     remove_request(id);
 }
 
-bool traffic::objective_missed(pending_request const& request) const
+/** @return the place in the queue of a request whose times are set. */
+queue_place traffic::place_of(request_arrived const& event, pending_request const& request)
 {
-    auto const waited = now_ - request.arrived;
-    // Clients retry only once or twice, so a client retry that is refused again is mostly lost.
-    return !request.is_client_retry && waited >= request.route->objective;
+    // Whether the object is warm at the target is open until the request is placed.
+    route_time const& times = service_times_.of(*event.route);
+    double const expected_ms = std::min(times.expected(0), times.expected(1));
+    queue_place place;
+    place.priority = event.terms.priority.value_or(event.route->priority);
+    place.latest_start = request.arrived - request.elapsed_before + event.route->objective -
+                         microseconds(static_cast<std::int64_t>(expected_ms * us_per_ms));
+    place.sequence = event.id.value;
+    return place;
 }
 
-bool traffic::comes_before(pending_request const& a, pending_request const& b) const
+/** Notes whether the workspace of a queued request has had its share by now. */
+void traffic::update_share(pending_request& request)
 {
-    auto const rank = [this](pending_request const& r) {
-        return std::tuple(objective_missed(r), r.priority, !r.is_client_retry, r.arrived, r.id);
-    };
-    return rank(a) < rank(b);
+    request.place.beyond_share =
+        workspace_shares_[request.service].beyond(request.place.priority, request.workspace, now_);
 }
 
 std::map<std::uint32_t, rate_limit_notice> traffic::limits(mono_time now) const
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -1,6 +1,8 @@
 #pragma once
 /** @file State machine that dispatches the requests of an entry host to targets. */
 
+#include "admission/queue_order.h"
+#include "admission/workspace_shares.h"
 #include "traffic/crash_table.h"
 #include "traffic/left_targets.h"
 #include "traffic/object_balance.h"
@@ -42,13 +44,13 @@
     mono_time deadline;            ///< deadline of the client
     std::string client;
     request_fingerprint fingerprint;
-    int priority = 0;                    ///< 0 is the highest
+    workspace_id workspace; ///< empty: none
+    queue_place place;
     std::vector<region_id> home_regions; ///< of its workspace; bind beside those of the route
     bool home_elsewhere = false;         ///< its home regions exclude the region of this host
     int max_attempts = 1; ///< targets that this host may send it to, or let other hosts send it to
     int attempts = 0;     ///< of these, used so far
-    int unsent_attempts = 0;      ///< that got no connection
-    bool is_client_retry = false; ///< the client retries after a refusal
+    int unsent_attempts = 0; ///< that got no connection
     bool may_have_run = false;
     bool client_disconnected = false; ///< the run at the target continues without a client
     bool relayed = false;             ///< by another host; must not be relayed again
@@ -171,7 +173,10 @@
     bool retry(pending_request& request);
     void dispatch_queue(service_id const& service);
     void refuse_expired(service_id const& service);
-    void sort_queue(std::vector<request_id>& queue) const;
+    void sort_queue(std::vector<request_id>& queue);
+    [[nodiscard]] queue_place place_of(request_arrived const& event,
+                                       pending_request const& request);
+    void update_share(pending_request& request);
     placement_round begin_round(service_id const& service);
     void count_waiting(placement_round& round, service_id const& service,
                        pending_request const* before = nullptr) const;
@@ -199,8 +204,6 @@
     [[nodiscard]] send_rates rates_for(target_state const& target) const;
     [[nodiscard]] double usable_slots(target_state const& target) const;
     [[nodiscard]] int remote_running(zone_id const& zone, service_id const& service) const;
-    [[nodiscard]] bool comes_before(pending_request const& a, pending_request const& b) const;
-    [[nodiscard]] bool objective_missed(pending_request const& request) const;
 
     traffic_settings settings_;
     mono_time now_{};
@@ -216,6 +219,7 @@
     std::set<zone_id> evacuated_zones_;
     std::map<request_id, pending_request> requests_;
     std::map<service_id, std::vector<request_id>> queues_;
+    std::map<service_id, workspace_shares> workspace_shares_;
     refused_requests refused_requests_;
     crash_table crashes_;
     reach_monitor reach_;
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -70,15 +70,18 @@
     }
 }
 
-void traffic::sort_queue(std::vector<request_id>& queue) const
+void traffic::sort_queue(std::vector<request_id>& queue)
 {
     std::vector<pending_request const*> order;
     order.reserve(queue.size());
     for (request_id const& id : queue) {
-        order.push_back(&requests_.at(id));
+        pending_request& request = requests_.at(id);
+        update_share(request);
+        order.push_back(&request);
     }
-    std::sort(order.begin(), order.end(),
-              [this](auto const* a, auto const* b) { return comes_before(*a, *b); });
+    std::sort(order.begin(), order.end(), [this](auto const* a, auto const* b) {
+        return comes_before(a->place, b->place, now_);
+    });
     std::transform(order.begin(), order.end(), queue.begin(),
                    [](auto const* request) { return request->id; });
 }
@@ -211,7 +214,7 @@
         pending_request const& other = requests_.at(id);
         auto const position = round.position.find(other.queued_for);
         if (position != round.position.end() &&
-            (before == nullptr || comes_before(other, *before))) {
+            (before == nullptr || comes_before(other.place, before->place, now_))) {
             round.local[position->second].queued += 1;
         }
     }
@@ -463,7 +466,9 @@
     request.expected_ms = option.service_ms;
     request.object_age = option.object_age;
     request.rank = option.rank;
-    ++request.attempts;
+    if (++request.attempts == 1) {
+        workspace_shares_[request.service].served(request.place.priority, request.workspace, now_);
+    }
     count_sent(request, entry.zone);
     target.attempt_sent(request.id, request.object, option.service_ms, now_);
     option.candidate->load += 1;
