Let the test of the cap beside homed requests shift some requests

Cause: no request left the region in either half of the test, so it compared 0 with 0. Change: the zone takes 80 requests and none can wait, so 6 of the others shift, with and without 60 requests of another home region. Result: passes; fails (0 instead of 6) when count_sent counts the homed requests.

--- a/tests/traffic/request_terms_test.cpp
+++ b/tests/traffic/request_terms_test.cpp
@@ -141,7 +141,7 @@
 {
     auto const shifted = [this](int homed) {
         now += seconds{10};
-        list_both(1, 1000);
+        list_both(10, 1000);
         std::vector<std::pair<request_id, target_id>> open;
         auto const take = [&] {
             for (auto const& sent : of_kind<send_attempt>(effects)) {
@@ -151,12 +151,13 @@
         route.home_regions = there;
         for (int i = 0; i < homed; ++i) {
             arrive_with({});
+            now += milliseconds{5};
             for (auto const& sent : of_kind<send_attempt>(effects)) {
                 end(sent.id, sent.target, attempt_end::succeeded);
             }
         }
         route.home_regions.clear();
-        for (int i = 0; i < 40; ++i) {
+        for (int i = 0; i < 120; ++i) {
             arrive_with({});
             take();
         }
@@ -168,7 +169,10 @@
         advance(deadline + milliseconds{100});
         return away;
     };
-    EXPECT_EQ(shifted(0), shifted(60));
+    route.objective = milliseconds{1}; // no request can wait for a target of this zone
+    auto const alone = shifted(0);
+    EXPECT_EQ(alone, 6); // 0.5 x 0.15 of the 80 that this zone takes
+    EXPECT_EQ(shifted(60), alone);
 }
 
 } // namespace
