Keep workspaces that ask for very much from being served almost never

Change: a workspace served less than 0.35 times as often as all, relative to what it asks, is not beyond its share.

--- a/src/admission/workspace_shares.cpp
+++ b/src/admission/workspace_shares.cpp
@@ -15,6 +15,9 @@
 /// all that others leave stays just below its full share, and the others would lose requests
 /// meanwhile.
 constexpr double beyond_from = 0.9;
+/// A workspace that is served less often than this, relative to all, is not beyond its share. None
+/// may fall below a quarter; the rest is a margin for the delay of the accounts.
+constexpr double min_relative_rate = 0.35;
 constexpr double forgotten_below = 0.01; ///< accounts with fewer requests are removed
 
 double decay(mono_time since, mono_time now)
@@ -78,6 +81,7 @@
     recomputed_ = now;
     for (auto& [priority, accounts] : accounts_) {
         std::vector<double> demands;
+        double asked = 0;
         double served = 0;
         for (auto& [workspace, account] : accounts) {
             double const factor = decay(account.since, now);
@@ -85,11 +89,14 @@
             account.served *= factor;
             account.since = now;
             demands.push_back(account.asked);
+            asked += account.asked;
             served += account.served;
         }
         double const share = fair_share(std::move(demands), served);
         for (auto& [workspace, account] : accounts) {
-            account.beyond = account.asked > share && account.served > beyond_from * share;
+            double const least = min_relative_rate * served / asked * account.asked;
+            account.beyond =
+                account.asked > share && account.served > std::max(beyond_from * share, least);
         }
         std::erase_if(accounts,
                       [](auto const& item) { return item.second.asked < forgotten_below; });
--- a/src/admission/workspace_shares.h
+++ b/src/admission/workspace_shares.h
@@ -11,8 +11,9 @@
 
 /**
  * Tells which workspaces have had their fair share of the requests of one service: equal shares of
- * what is served, where those that ask for less leave the rest to the others. Requests without
- * workspace share as one workspace.
+ * what is served, where those that ask for less leave the rest to the others, but for each at least
+ * a part of what all get relative to what they ask. Requests without workspace share as one
+ * workspace.
  */
 class workspace_shares {
 public:
--- a/tests/traffic/workspace_shares_test.cpp
+++ b/tests/traffic/workspace_shares_test.cpp
@@ -58,7 +58,6 @@
         return results;
     }
 
-private:
     struct run {
         request_id id;
         target_id target;
@@ -108,6 +107,24 @@
     EXPECT_GE(got[2].share(), 0.9);
 }
 
+// Equal shares alone would leave a workspace that asks for very much next to nothing.
+TEST_F(workspace_shares_case, no_workspace_is_served_under_a_quarter_as_often_as_all)
+{
+    std::vector<load_source> sources{{"flood", 10 * capacity, 0}};
+    for (int i = 0; i < 10; ++i) {
+        sources.push_back({"w" + std::to_string(i), capacity / 2, 0});
+    }
+    source_result all;
+    auto const got = play(sources, seconds{33});
+    for (source_result const& result : got) {
+        all.asked += result.asked;
+        all.served += result.served;
+    }
+    for (source_result const& result : got) {
+        EXPECT_GE(result.share(), 0.25 * all.share());
+    }
+}
+
 // Fairness within a class must not cost a more urgent one.
 TEST_F(workspace_shares_case, a_more_urgent_class_comes_first_whatever_its_share)
 {
