End an exchange at once when the status is below 100 or above 599

Cause: a status below 100 was taken as an interim response, so the request waited until its time-out (504, no retry); one above 599 was passed to the client, and with the field that says "not run" it let a once-only request run twice.

Change: exchange_connection ends as broken once the header with such a status is there, for targets, relays and the store alike. An idempotent request is retried, another gets 502.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -18,9 +18,11 @@
 
 /// A shorter response is not counted; most are.
 constexpr std::uint64_t uncounted_bytes = 16'384;
-constexpr int first_final_status = 200; ///< responses with a lower status (1xx) are interim ones
-constexpr int probe_interval_s = 1;     ///< between two keep-alive probes
-constexpr int max_probes = 1;           ///< unanswered ones that end a connection
+constexpr unsigned first_status = 100;
+constexpr unsigned last_status = 599;        ///< RFC 9110, 15: others are invalid
+constexpr unsigned first_final_status = 200; ///< responses with a lower status are interim ones
+constexpr int probe_interval_s = 1;          ///< between two keep-alive probes
+constexpr int max_probes = 1;                ///< unanswered ones that end a connection
 
 /** Sets an option of @p socket; one that fails leaves the defaults of the system. */
 template <class Value>
@@ -29,6 +31,16 @@
     static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
 }
 
+/** @return whether the header is there with a status that no response has. */
+bool has_invalid_status(http::response_parser<http::string_body> const& parser)
+{
+    if (!parser.is_header_done()) {
+        return false;
+    }
+    unsigned const status = parser.get().result_int();
+    return status < first_status || status > last_status;
+}
+
 /** Limits the time for which a connection that has fallen silent is kept, with or without data. */
 void limit_silence(int socket, exchange_limits const& limits)
 {
@@ -158,6 +170,10 @@
                                                                   self->limits_.body_bytes) {
                                   error = http::error::body_limit;
                               }
+                              if (has_invalid_status(*self->parser_)) {
+                                  self->finish({exchange_outcome::broken, {}, "invalid status"});
+                                  return;
+                              }
                               if (!error && !self->parser_->is_done()) {
                                   self->read_some();
                                   return;
--- a/tests/host/departed_client_test.cpp
+++ b/tests/host/departed_client_test.cpp
@@ -1,8 +1,7 @@
 /** @file Requests whose clients leave before or while they are carried. */
 
-#include "support/cut_link.h"
 #include "support/raw_client.h"
-#include "support/zone_case.h"
+#include "support/relaying_host.h"
 
 #include <poll.h>
 
@@ -149,45 +148,11 @@
         loop, [&] { return target.closed_by_peer == 1; }, gone_bound));
 }
 
-/** Two hosts; the first one reaches its targets through links that are cut. */
-class departed_client_of_cut_off_host : public zone_case {
-protected:
-    departed_client_of_cut_off_host() : zone_case(2) {}
-
-    scripted_server target{loop, [](std::string const&) { return scripted_answer{""}; }};
-};
+class departed_client_of_cut_off_host : public relaying_host {};
 
 TEST_F(departed_client_of_cut_off_host, a_relayed_request_that_runs_is_cancelled)
 {
-    cut_link link(loop, target.endpoint());
-    std::vector<target_entry> direct;
-    for (int i = 0; i < 3; ++i) {
-        direct.push_back(desk_targets({&target})[0]);
-        direct.back().id = target_id("t" + std::to_string(i));
-        direct.back().slots = 64;
-    }
-    auto linked = direct;
-    for (target_entry& entry : linked) {
-        entry.address = link.address();
-    }
-    for (std::size_t i = 0; i < stores.size(); ++i) {
-        stores[i].hosts_listed({});
-        stores[i].config(desk_config(1, "/a/", true));
-        stores[i].targets_listed({i == 0 ? linked : direct, position(1)});
-    }
-    ASSERT_TRUE(run_until(
-        loop, [this] { return all_know_each_other(); }, milliseconds{10'000}));
-    link.cut(link_cut::reset);
-    std::vector<std::unique_ptr<raw_client>> earlier;
-    ASSERT_TRUE(run_until(loop, [&] {
-        earlier.push_back(std::make_unique<raw_client>(loop, clients[0]));
-        earlier.back()->send(raw_request("/a/earlier"));
-        run_until(
-            loop, [] { return false; }, milliseconds{20});
-        return metric(0, "cove_cut_off_from_targets") == 1;
-    }));
-    run_until(
-        loop, [] { return false; }, milliseconds{1500}); // until earlier requests have ended
+    cut_off_first_host(true);
     auto const before = target.request_heads.size();
     auto const closed_before = target.closed_by_peer;
     raw_client client(loop, clients[0]);
--- a/tests/host/entry_host_test.cpp
+++ b/tests/host/entry_host_test.cpp
@@ -189,6 +189,36 @@
             false,
             502,
             1},
+        // Each of these guards against a status that is passed on or waited out until a time-out.
+        target_case{
+            "status_000",
+            {response("000 Nothing", "Attempt: a1\r\nSignature: s\r\n"), connection_action::keep},
+            false,
+            502,
+            1},
+        target_case{
+            "status_000_repeatable",
+            {response("000 Nothing", "Attempt: a1\r\nSignature: s\r\n"), connection_action::keep},
+            true,
+            200,
+            2},
+        target_case{"status_099_without_id_or_end",
+                    {"HTTP/1.1 099 Nothing\r\nContent-Length: 9\r\n\r\n", connection_action::keep},
+                    false,
+                    502,
+                    1},
+        target_case{
+            "status_600",
+            {response("600 Odd", "Attempt: a1\r\nSignature: s\r\n"), connection_action::keep},
+            false,
+            502,
+            1},
+        target_case{"status_999_that_says_not_run",
+                    {response("999 Odd", "Attempt: a1\r\nSignature: s\r\nNot-Run: 1\r\n"),
+                     connection_action::keep},
+                    false,
+                    502,
+                    1},
         target_case{"silent", {"", connection_action::keep}, false, 504, 1}),
     [](auto const& info) { return info.param.name; });
 
--- a/tests/host/faulty_answer_test.cpp
+++ b/tests/host/faulty_answer_test.cpp
@@ -1,6 +1,7 @@
 /** @file Targets that repeat refusals or break off their answers. */
 
 #include "support/host_case.h"
+#include "support/relaying_host.h"
 
 namespace cove {
 namespace {
@@ -80,6 +81,26 @@
     EXPECT_EQ(arrivals, 2);
 }
 
+class faulty_answers_over_a_relay : public relaying_host,
+                                    public testing::WithParamInterface<bool> {};
+
+// Guards against an invalid status that is passed on, or waited out, by either of the two hosts.
+TEST_P(faulty_answers_over_a_relay, with_an_invalid_status_are_lost)
+{
+    cut_off_first_host(GetParam());
+    auto const before = target.request_heads.size();
+    answer = {response("000 Nothing", "Attempt: a1\r\nSignature: s\r\n"), connection_action::keep};
+    raw_client client(loop, clients[0]);
+    client.send(raw_request("/a/1"));
+    EXPECT_TRUE(run_until(
+        loop, [&] { return client.received().starts_with("HTTP/1.1 502"); }, milliseconds{700}))
+        << client.received();
+    EXPECT_EQ(target.request_heads.size(), before + (GetParam() ? 2U : 1U));
+}
+
+INSTANTIATE_TEST_SUITE_P(cases, faulty_answers_over_a_relay, testing::Bool(),
+                         [](auto const& info) { return info.param ? "idempotent" : "once_only"; });
+
 struct broken_case {
     char const* name;
     std::string answer;
