Send requests without attempt id on connections of their own

Cause: two requests without attempt id on one kept connection, to a target that echoes an empty id: a second copy of the first response that arrived while the second request was written was taken as the response to the second and given to its caller.

Change: the pool reuses no connection for a request without id. Requests with an id, and copies without one, were told apart before; tests now cover both times of arrival, with id, without, and as an error.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -377,7 +377,8 @@
     message.prepare_payload();
     open.pool = &relay_pool_;
     open.peer = target_id(effect.address);
-    open.connection = relay_pool_.acquire(open.peer, effect.address, effect.idempotent, "");
+    open.connection =
+        relay_pool_.acquire(open.peer, effect.address, effect.idempotent, open.attempt_id);
     if (!open.connection->connected()) {
         limit_connect_time(open.connection);
     }
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -46,6 +46,9 @@
                                                                    bool idempotent,
                                                                    std::string const& attempt_id)
 {
+    if (attempt_id.empty()) { // a late copy of another response could not be told from this one
+        return std::make_shared<exchange_connection>(loop_, endpoint_of(address), limits_);
+    }
     mono_time const now = read_clocks().mono;
     auto& idle = idle_[target];
     for (auto next = idle.end(); next != idle.begin();) {
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -39,8 +39,8 @@
      * @param idempotent whether the request may run twice, so that a connection that the target has
      * just closed costs only a retry. Other requests get a connection only while the
      * target certainly keeps it open.
-     * @param attempt_id of the request. A connection on which it was refused is not used, because a
-     * faulty target may write that refusal once more.
+     * @param attempt_id of the request; none: never reused. A connection on which it was refused is
+     * not used, because a faulty target may write that refusal once more.
      * @return an idle connection, or a new one that connects with its first request.
      */
     connection acquire(target_id const& target, std::string const& address, bool idempotent,
--- a/tests/host/faulty_answer_test.cpp
+++ b/tests/host/faulty_answer_test.cpp
@@ -101,6 +101,97 @@
 INSTANTIATE_TEST_SUITE_P(cases, faulty_answers_over_a_relay, testing::Bool(),
                          [](auto const& info) { return info.param ? "idempotent" : "once_only"; });
 
+struct late_copy_case {
+    char const* name;
+    std::string ids[2]; ///< of the two requests; empty: they have none
+    std::string copy;   ///< second copy of the first response
+    bool between;       ///< arrives before the second request, else while it is written
+};
+
+class late_copies : public faulty_answers, public testing::WithParamInterface<late_copy_case> {
+protected:
+    static std::string answer_to(std::string const& attempt, std::string const& body)
+    {
+        return response("200 OK", "Attempt: " + attempt + "\r\nSignature: s\r\n", body);
+    }
+
+    exchange_result ask_as(std::string const& attempt, std::string const& body)
+    {
+        http_request request(boost::beast::http::verb::put, "/a/1", 11);
+        request.set(boost::beast::http::field::host, "desk.example");
+        request.set("Deadline", "1500");
+        if (!attempt.empty()) {
+            request.set("Attempt", attempt);
+        }
+        request.body() = body;
+        request.prepare_payload();
+        return exchange_once(loop, client_address, std::move(request));
+    }
+};
+
+// Guards against a caller that gets the response to the request before on the same connection.
+TEST_P(late_copies, never_reach_the_next_caller)
+{
+    late_copy_case const& with = GetParam();
+    int runs = 0;
+    scripted_server one(loop, [&](std::string const&) {
+        bool const second = ++runs == 2;
+        std::string const copy = second && !with.between && one.connections == 1 ? with.copy : "";
+        return scripted_answer{copy +
+                                   answer_to(with.ids[second ? 1 : 0], second ? "second" : "first"),
+                               connection_action::keep};
+    });
+    list({&one});
+    configure(1, "/a/", false);
+    ASSERT_EQ(ask_as(with.ids[0], "").response.body(), "first");
+    if (with.between) {
+        one.send_to_all(with.copy); // the host may read it only after it has the next request
+    }
+    std::string const long_body(900'000, 'x'); // the copy arrives before all of it is sent
+    exchange_result const got = ask_as(with.ids[1], long_body);
+    EXPECT_NE(got.response.body(), "first");
+    EXPECT_EQ(got.response.result_int(), 200U);
+    EXPECT_EQ(runs, 2);
+}
+
+std::string copy_with(std::string const& status, std::string const& fields)
+{
+    return response(status, fields, "first");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, late_copies,
+    testing::Values(
+        late_copy_case{"with_its_id_between",
+                       {"a1", "a2"},
+                       copy_with("200 OK", "Attempt: a1\r\nSignature: s\r\n"),
+                       true},
+        late_copy_case{"with_its_id_in_writing",
+                       {"a1", "a2"},
+                       copy_with("200 OK", "Attempt: a1\r\nSignature: s\r\n"),
+                       false},
+        late_copy_case{
+            "without_id_between", {"a1", "a2"}, copy_with("200 OK", "Signature: s\r\n"), true},
+        late_copy_case{
+            "without_id_in_writing", {"a1", "a2"}, copy_with("200 OK", "Signature: s\r\n"), false},
+        late_copy_case{"failure_without_id_between",
+                       {"a1", "a2"},
+                       copy_with("500 Failed", "Signature: s\r\n"),
+                       true},
+        late_copy_case{"failure_without_id_in_writing",
+                       {"a1", "a2"},
+                       copy_with("500 Failed", "Signature: s\r\n"),
+                       false},
+        late_copy_case{"of_requests_without_id_between",
+                       {"", ""},
+                       copy_with("200 OK", "Attempt: \r\nSignature: s\r\n"),
+                       true},
+        late_copy_case{"of_requests_without_id_in_writing",
+                       {"", ""},
+                       copy_with("200 OK", "Attempt: \r\nSignature: s\r\n"),
+                       false}),
+    [](auto const& info) { return info.param.name; });
+
 struct broken_case {
     char const* name;
     std::string answer;
