Discard into a buffer of its own before a client connection closes

Cause: when the next request timed out while the last response was written, the read of that request was still pending when the discarding reads began, both into the same buffer.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -367,9 +367,13 @@
     enter_phase(phase::lingering, linger_timeout);
     error_code ignored; // the read below fails if the connection is gone
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    buffer_.consume(buffer_.size());
-    auto discard = [self = shared_from_this()](auto&& again) -> void {
-        self->socket_.async_read_some(self->buffer_.prepare(linger_chunk_bytes),
+    if (reading_) { // a request that timed out while the last response was written
+        socket_.cancel(ignored);
+    }
+    // Not buffer_, as the read that was cancelled has not let go of it yet.
+    auto const discarded = std::make_shared<std::array<char, linger_chunk_bytes>>();
+    auto discard = [self = shared_from_this(), discarded](auto&& again) -> void {
+        self->socket_.async_read_some(boost::asio::buffer(*discarded),
                                       [self, again](error_code failed, std::size_t) {
                                           if (failed || self->closed_) {
                                               self->close();
--- a/tests/http/pipelined_requests_test.cpp
+++ b/tests/http/pipelined_requests_test.cpp
@@ -234,6 +234,25 @@
     EXPECT_GT(client->received().size(), size);
 }
 
+// Guards against two reads into one buffer when a time-out comes while the last response is
+// written.
+TEST_F(pipelined_requests, whose_response_is_being_sent_survive_the_time_out_of_the_next)
+{
+    constexpr std::size_t size = 16 << 20; // more than the socket buffers take
+    server_limits limits;
+    limits.header_timeout = milliseconds{50};
+    server->set_limits(limits);
+    client->send(get_of("/a") + "GET /b HT");
+    ASSERT_TRUE(runs(1));
+    http_response response(http::status::ok, http_version);
+    response.body().assign(size, 'x');
+    server->respond(running.at("/a"), std::move(response));
+    run_until(
+        loop, [] { return false; }, milliseconds{500}); // past the time-out
+    EXPECT_TRUE(ended());
+    EXPECT_GT(client->received().size(), size);
+}
+
 TEST_F(pipelined_requests, behind_connection_close_are_dropped)
 {
     client->send(get_of("/a") + get_of("/b", "Connection: close\r\n") + get_of("/c"));
