Take an answer for lost only after three times the cold time

Cause: an idempotent request counted as lost after three times its expected time. Change: the expected time counts as at least that of a target without the object.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -509,8 +509,11 @@
         waited >= std::max(late_answer_floor_ms, late_answer_factor * request.expected_ms)) {
         reach_.attempt_failed(target->second.short_hash(), now_);
     }
+    // The target may have evicted an object that this host takes for warm.
+    double const longest_expected = std::max(
+        request.expected_ms, service_times_.of(*request.route).expected(0) + request.rtt_ms);
     if (!request.route->idempotent ||
-        waited < std::max(lost_answer_floor_ms, lost_answer_factor * request.expected_ms)) {
+        waited < std::max(lost_answer_floor_ms, lost_answer_factor * longest_expected)) {
         return;
     }
     retry_on_other_target(request);
