--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -132,6 +132,8 @@
     self_.targets_in_flight = own.targets_in_flight;
     self_.target_limits = own.target_limits;
     self_.new_objects = own.new_objects;
+    self_.quota_demands = own.quota_demands;
+    zone_quota_demands_ = own.zone_quota_demands;
 }
 
 std::vector<host_report const*> host_view::zone_hosts(mono_time now) const
@@ -177,6 +179,7 @@
     out.incarnation = self_.incarnation;
     out.sequence = self_.sequence;
     out.ip = self_.ip;
+    out.quota_demands = zone_quota_demands_;
     // The serving host with the lowest name reports the zone's target loads; hosts that are cut off
     // from the targets only if there is no other.
     host_report const* reporter = nullptr;
@@ -456,7 +459,8 @@
         if (is_alive(zone, now)) {
             zone_status const& known = zone.status;
             out.push_back({known.zone, known.speaker, known.incarnation, known.sequence, known.ip,
-                           known.versions, known.loads, std::nullopt});
+                           known.versions, known.loads, std::nullopt,
+                           known.quota_demands});
         }
     }
     return out;
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -70,6 +70,8 @@
     std::vector<target_in_flight> targets_in_flight;
     std::vector<target_limit_report> target_limits;
     std::vector<service_objects> new_objects;
+    std::vector<quota_demand> quota_demands;      ///< of this host
+    std::vector<quota_demand> zone_quota_demands; ///< of the zone, for its status
 };
 
 /**
@@ -198,6 +200,7 @@
     void merge_zone_status(zone_status const& status, bool relay, mono_time now);
 
     host_report self_;
+    std::vector<quota_demand> zone_quota_demands_; ///< for the status of this zone
     random_engine random_;
     std::map<node_id, zone_peer> zone_peers_;     ///< without this host
     std::size_t reporting_peers_ = 0;             ///< zone peers that get the reports of this host
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -31,12 +31,12 @@
     milliseconds age{};          ///< time since the answer of the target
 };
 
-/** Requests per second that hosts want to admit of the quota of a workspace. */
+/** Requests per second that hosts want or reserve of the quota of a workspace. */
 struct quota_demand {
-    std::uint32_t workspace = 0; ///< short hash of its name
-    double rate = 0;             ///< requests per second; 0: none any more
-    int hosts = 0;               ///< with demand
-    int zone_hosts = 0;          ///< hosts of the zone, in the status of a zone
+    std::uint32_t workspace = 0; ///< short hash of its name; 0: about the sender
+    double rate = 0;             ///< requests per second; about the sender: 1 if it misses reports
+    int hosts = 0;               ///< 0: reserved, else desired; about the sender: 1 if complete
+    int zone_hosts = 0;          ///< about the sender, in the status of a zone: hosts of the zone
     bool operator==(quota_demand const&) const = default;
 };
 
