Limit the requests of workspaces at entry hosts

Cause: workspaces have limits in the configuration that no host applied. Change: a request of a workspace with a limit takes a unit after routing, else gets 429 with Retry-After; it is given back when the request has not run. Reports and statuses carry the entries.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -129,6 +129,7 @@
     : loop_(loop), timers_(timers), settings_(std::move(settings)), wire_(std::move(wire)),
       reload_settings_(std::move(reload_settings)),
       answers_(std::make_shared<memory_budget>(answer_memory(settings_))),
+      quotas_(settings_, log_, random_seed(), read_clocks().mono),
       forwarder_(loop, timers, wire_.names, make_traffic_settings(settings_),
                  answer_limits(answers_), log_, monitor_),
       clients_(loop, timers,
@@ -171,6 +172,7 @@
 {
     timers_.on_delay([this](microseconds delay) { report_delay(delay); });
     forwarder_.attach(clients_, relays_);
+    forwarder_.limit(quotas_);
     forwarder_.on_links_changed([this](bool) {
         // Not at once, as the reducer's effects are still being carried out.
         timers_.once(read_clocks().mono, [this] { report_peers(read_clocks().mono); });
@@ -531,6 +533,7 @@
     relay_limits.body_bytes = limits.body_bytes;
     relays_.set_limits(relay_limits);
     forwarder_.set_config(config);
+    quotas_.set_config(config, read_clocks().mono);
     log_.event("config_in_force",
                {{"version", std::to_string(config.version.value)},
                 {"routes", std::to_string(config.routes.size())},
@@ -574,6 +577,7 @@
             {target, heard.limit, std::chrono::duration_cast<milliseconds>(now - heard.heard)});
     }
     own.new_objects = forwarder_.announcements(view_.zone_round());
+    quotas_.add_to(own);
     return own;
 }
 
@@ -701,6 +705,7 @@
            std::to_string(forwarder_.blocked_requests()) + "\n";
     out += "# TYPE cove_failed_requests counter\ncove_failed_requests " +
            std::to_string(forwarder_.failed_requests()) + "\n";
+    out += quotas_.prometheus();
     out += "# TYPE cove_bytes_to_peers counter\n";
     for (auto const& [kind, bytes] : bytes_to_peers_) {
         out += "cove_bytes_to_peers{message=\"" + kind + "\"} " + std::to_string(bytes) + "\n";
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -84,6 +84,7 @@
 {
     mono_time const now = read_clocks().mono;
     expire_held_entries(now);
+    quotas_.tick(view_, leaving_, now);
     monitor_.measure("send_reports", [&] { send(view_.tick(state(), now)); });
     report_peers(now);
     update_store_following(now);
@@ -217,6 +218,7 @@
 
 void entry_host::on(gossip const& message)
 {
+    quotas_.hear(message, read_clocks().mono);
     send(view_.receive(message, read_clocks().mono));
     if (!message.answer_wanted) {
         return;
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -250,6 +250,15 @@
                           deadline ? milliseconds(*deadline) : route->timeout,
                           open.fingerprint,
                           relayed};
+    if (quotas_ != nullptr && !relayed) {
+        open.quota = quotas_->take(event.terms.workspace, event.deadline, open.arrived);
+        if (!open.quota.admitted) {
+            record_outcome(open, "over_quota");
+            respond(*open.server, open.call, http::status::too_many_requests,
+                    open.quota.retry_after);
+            return;
+        }
+    }
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
@@ -294,10 +303,21 @@
     auto const found = open_.find(id);
     if (found != open_.end() && !found->second.connection) {
         record_outcome(found->second, "client_left");
+        if (found->second.sends == 0 || (found->second.sends == 1 && unsent)) {
+            give_back(found->second);
+        }
         open_.erase(found);
     }
 }
 
+/** Returns the unit of a request that has not run. */
+void request_forwarder::give_back(open_request const& open)
+{
+    if (quotas_ != nullptr) {
+        quotas_->give_back(open.quota, read_clocks().mono);
+    }
+}
+
 /** @return a test whether the client of request @p id is still there. */
 exchange_connection::condition request_forwarder::client_connected(request_id id) const
 {
@@ -318,6 +338,7 @@
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(names_.expected_target, effect.target.value);
     message.prepare_payload();
+    ++open.sends;
     open.pool = &pool_;
     open.peer = effect.target;
     open.connection =
@@ -365,6 +386,7 @@
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(client_field, open.client);
     message.prepare_payload();
+    ++open.sends;
     open.pool = &relay_pool_;
     open.peer = target_id(effect.address);
     open.connection = relay_pool_.acquire(open.peer, effect.address, effect.idempotent, "");
@@ -611,6 +633,9 @@
     open_request const open = std::move(found->second);
     open_.erase(found);
     bool const not_run = effect.reason == refusal::no_room || effect.reason == refusal::no_target;
+    if (not_run) {
+        give_back(open);
+    }
     respond(*open.server, open.call, status_of(effect.reason),
             not_run ? effect.retry_after : milliseconds{0});
 }
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -2,6 +2,7 @@
 /** @file Forwards client requests to targets as the traffic reducer decides. */
 
 #include "host/target_connection_pool.h"
+#include "host/workspace_quotas.h"
 #include "http/server.h"
 #include "log/log_limiter.h"
 #include "metrics/latency_metrics.h"
@@ -65,6 +66,9 @@
         peers_ = &peers;
     }
 
+    /** @param quotas of the workspaces; must outlive this. */
+    void limit(workspace_quotas& quotas) { quotas_ = &quotas; }
+
     void on_request(call_id call, http_request request);
     void on_client_disconnected(call_id call);
 
@@ -115,6 +119,8 @@
         target_connection_pool::connection connection;
         target_connection_pool* pool = nullptr; ///< of the connection
         target_id peer;                         ///< of the connection, as the pool names it
+        quota_ticket quota;                     ///< unit of its workspace, if it took one
+        int sends = 0;                          ///< attempts and relays that were begun
     };
 
     void feed(traffic_event const& event);
@@ -135,6 +141,7 @@
     void accept(request_id id, open_request open, bool relayed);
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
+    void give_back(open_request const& open);
     [[nodiscard]] exchange_connection::condition client_connected(request_id id) const;
     void limit_connect_time(target_connection_pool::connection const& connection);
     void on_relay_end(request_id id, relay_request const& relay, exchange_result result);
@@ -149,6 +156,7 @@
     [[nodiscard]] std::optional<target_load> parse_load(http_response const& response) const;
     [[nodiscard]] target_notice parse_notice(http_response const& response) const;
 
+    workspace_quotas* quotas_ = nullptr;
     loop_timers& timers_;
     header_names names_;
     log_limiter& log_;
--- a/src/quota/quota_claims.cpp
+++ b/src/quota/quota_claims.cpp
@@ -112,6 +112,14 @@
     }
 }
 
+void quota_claims::expect(node_id const& host, mono_time now)
+{
+    auto const [found, inserted] = peers_.try_emplace(host);
+    if (inserted) {
+        found->second.heard = now - peer_silence_max;
+    }
+}
+
 void quota_claims::hear(host_report const& report, mono_time now)
 {
     if (report.zone != self_.zone || report.name == self_.name) {
@@ -120,8 +128,8 @@
     auto const [found, inserted] = peers_.try_emplace(report.name);
     participant& peer = found->second;
     bool const restarted = report.incarnation > peer.incarnation;
-    bool const newer = restarted || (report.incarnation == peer.incarnation &&
-                                     report.sequence > peer.sequence);
+    bool const newer =
+        restarted || (report.incarnation == peer.incarnation && report.sequence > peer.sequence);
     if (!inserted && !newer) {
         return;
     }
@@ -141,9 +149,8 @@
 
 void quota_claims::hear(zone_status const& status, mono_time now)
 {
-    auto const about =
-        std::find_if(status.quota_demands.begin(), status.quota_demands.end(),
-                     [](quota_demand const& entry) { return entry.workspace == 0; });
+    auto const about = std::find_if(status.quota_demands.begin(), status.quota_demands.end(),
+                                    [](quota_demand const& entry) { return entry.workspace == 0; });
     if (status.zone == self_.zone || about == status.quota_demands.end()) {
         return;
     }
@@ -191,32 +198,20 @@
     return sum;
 }
 
-quota_claims::share quota_claims::of_zone(std::uint32_t key) const
-{
-    share sum;
-    for (auto const& [name, peer] : peers_) {
-        if (auto const found = peer.shares.find(key); found != peer.shares.end()) {
-            sum.desired += found->second.desired;
-            sum.reserved += found->second.reserved;
-        }
-    }
-    return sum;
-}
-
 int quota_claims::known_hosts() const
 {
     int known = 1;
     for_each_other([&known](participant const& other) { known += other.hosts; });
     int const own_zone = 1 + static_cast<int>(peers_.size());
-    return std::max(known, own_zone * static_cast<int>(std::max<std::size_t>(1, zones_.size() + 1)));
+    return std::max(known,
+                    own_zone * static_cast<int>(std::max<std::size_t>(1, zones_.size() + 1)));
 }
 
 int quota_claims::hosts_heard_within(milliseconds age, mono_time now) const
 {
     int heard = 1;
-    for_each_other([&](participant const& other) {
-        heard += now - other.heard <= age ? other.hosts : 0;
-    });
+    for_each_other(
+        [&](participant const& other) { heard += now - other.heard <= age ? other.hosts : 0; });
     return heard;
 }
 
@@ -254,8 +249,7 @@
 bool quota_claims::others_miss_reports() const
 {
     bool misses = false;
-    for_each_other(
-        [&](participant const& other) { misses = misses || other.misses_reports; });
+    for_each_other([&](participant const& other) { misses = misses || other.misses_reports; });
     return misses;
 }
 
@@ -267,7 +261,8 @@
     }
     last_tick_ = now;
     for (auto& [name, peer] : peers_) {
-        peer.silence_max = peer_silence_max * std::max<std::int64_t>(1, input.report_interval / report_tick);
+        peer.silence_max =
+            peer_silence_max * std::max<std::int64_t>(1, input.report_interval / report_tick);
     }
     expire(now);
     int known = 1;
@@ -323,7 +318,8 @@
     if (may_increase && now >= own.next_increase && increase > target * claim_rise) {
         own.reserved += increase;
         own.pending.push_back({own.reserved, now + increase_delay});
-        own.next_increase = now + std::chrono::duration_cast<milliseconds>(increase_interval * (1 - part));
+        own.next_increase =
+            now + std::chrono::duration_cast<milliseconds>(increase_interval * (1 - part));
         own.changed = now;
     }
 }
@@ -364,7 +360,7 @@
 void quota_claims::write_report(quota_claims_tick const& input, bool misses, mono_time now)
 {
     report_.clear();
-    if (misses) {
+    if (misses && !own_.empty()) {
         report_.push_back({0, 1, 1, 0});
     }
     for (auto const& [name, own] : own_) {
@@ -382,36 +378,33 @@
 void quota_claims::write_status(bool misses, mono_time now)
 {
     status_.clear();
-    std::set<std::uint32_t> keys;
-    for (auto const& [name, own] : own_) {
-        keys.insert(own.key);
-    }
+    std::unordered_map<std::uint32_t, share> sums;
+    bool peers_miss = false;
     for (auto const& [name, peer] : peers_) {
+        peers_miss = peers_miss || peer.misses_reports;
         for (auto const& [key, entry] : peer.shares) {
-            keys.insert(key);
+            sums[key].reserved += entry.reserved;
+            sums[key].desired += entry.desired;
         }
     }
-    if (keys.empty()) {
+    for (auto const& [name, own] : own_) {
+        if (own.desired > 0 || own.reserved > 0) {
+            sums[own.key].reserved += own.reserved;
+            sums[own.key].desired += own.desired;
+        }
+    }
+    if (sums.empty() && own_.empty()) {
         return;
     }
-    bool const peers_miss = std::any_of(peers_.begin(), peers_.end(), [](auto const& item) {
-        return item.second.misses_reports;
-    });
     bool const complete = now >= started_ + learning_time;
     status_.push_back({0, misses || peers_miss ? 1.0 : 0.0, complete ? 1 : 0,
                        1 + static_cast<int>(peers_.size())});
-    std::unordered_map<std::uint32_t, share> sums;
-    for (auto const& [name, own] : own_) {
-        sums[own.key] = {own.desired, own.reserved, now};
-    }
-    for (std::uint32_t const key : keys) {
-        share const peers = of_zone(key);
-        share const& own = sums[key];
-        if (peers.reserved + own.reserved > 0) {
-            status_.push_back({key, peers.reserved + own.reserved, 0, 0});
+    for (auto const& [key, sum] : sums) {
+        if (sum.reserved > 0) {
+            status_.push_back({key, sum.reserved, 0, 0});
         }
-        if (peers.desired + own.desired > 0) {
-            status_.push_back({key, peers.desired + own.desired, 1, 0});
+        if (sum.desired > 0) {
+            status_.push_back({key, sum.desired, 1, 0});
         }
     }
 }
--- a/src/quota/quota_claims.h
+++ b/src/quota/quota_claims.h
@@ -13,7 +13,6 @@
 struct quota_claims_self {
     node_id name;
     zone_id zone;
-    host_incarnation incarnation;
     std::set<zone_id> zones; ///< all zones of the deployment
 };
 
@@ -47,6 +46,9 @@
     /** Replaces the limits. A lowered one takes effect at once. */
     void set_limits(workspace_limits const& limits);
 
+    /** A host of this zone that may be running; it counts as silent until it reports. */
+    void expect(node_id const& host, mono_time now);
+
     /** A report of a host; old and repeated ones and those of other zones are ignored. */
     void hear(host_report const& report, mono_time now);
 
@@ -122,7 +124,6 @@
     static void read_entries(participant& from, std::vector<quota_demand> const& entries,
                              mono_time now);
     [[nodiscard]] share others(std::uint32_t key) const;
-    [[nodiscard]] share of_zone(std::uint32_t key) const;
     template <class Visit>
     void for_each_other(Visit const& visit) const;
     void expire(mono_time now);
--- a/src/quota/quota_limiter.cpp
+++ b/src/quota/quota_limiter.cpp
@@ -27,11 +27,6 @@
 
 } // namespace
 
-quota_limiter::quota_limiter(quota_settings settings, std::string host)
-    : settings_(settings), host_(std::move(host))
-{
-}
-
 void quota_limiter::set_limits(workspace_limits const& limits, mono_time now)
 {
     std::erase_if(buckets_, [&](auto const& item) { return !limits.contains(item.first); });
@@ -52,7 +47,11 @@
 void quota_limiter::set_claim(workspace_id const& workspace, double rate, mono_time now)
 {
     auto const found = buckets_.find(workspace);
-    if (found == buckets_.end() || found->second.claim == rate) {
+    if (found == buckets_.end()) {
+        return;
+    }
+    found->second.renewed = std::max(found->second.renewed, now);
+    if (found->second.claim == rate) {
         return;
     }
     refill(found->second, now);
@@ -90,6 +89,10 @@
     bucket& entry = found->second;
     entry.demand = demand(workspace, now) + 1 / demand_smoothing_seconds;
     entry.measured = now;
+    if (now > entry.renewed + claim_lifetime) {
+        entry.claim = 0;
+        resize(entry);
+    }
     refill(entry, now);
     quota_unit unit;
     if (entry.units >= whole_unit) {
@@ -163,6 +166,13 @@
     return entry.demand * std::exp(-age / demand_smoothing_seconds);
 }
 
+double quota_limiter::claim(workspace_id const& workspace, mono_time now) const
+{
+    auto const found = buckets_.find(workspace);
+    bool const lapsed = found == buckets_.end() || now > found->second.renewed + claim_lifetime;
+    return lapsed ? 0 : found->second.claim;
+}
+
 std::vector<quota_count> quota_limiter::counts() const
 {
     std::vector<quota_count> out;
--- a/src/quota/quota_limiter.h
+++ b/src/quota/quota_limiter.h
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <cstdint>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -29,19 +28,21 @@
 /**
  * Admits requests from one token bucket per workspace and measures the demand.
  *
- * All buckets of a workspace together hold at most burst + tolerance / 2: a small bucket is enlarged
- * to at most two units and to its share of that sum. A host whose bucket holds less than one unit
- * admits requests at a minimum rate from the other half of the tolerance.
+ * All buckets of a workspace together hold at most burst + tolerance / 2: a small bucket is
+ * enlarged to at most two units and to its share of that sum. A host whose bucket holds less than
+ * one unit admits requests at a minimum rate from the other half of the tolerance.
  */
 class quota_limiter {
 public:
-    /** @param host name of this host; gives the phase of its minimum rates. */
-    quota_limiter(quota_settings settings, std::string host);
+    explicit quota_limiter(quota_settings settings) : settings_(settings) {}
 
     /** Replaces the limits. A bucket that stays keeps its units, up to its new size. */
     void set_limits(workspace_limits const& limits, mono_time now);
 
-    /** @param rate requests per second that this host may admit of the workspace. */
+    /**
+     * @param rate requests per second that this host may admit of the workspace, for at most
+     * `claim_lifetime`: after a longer pause of this process other hosts may use its claim.
+     */
     void set_claim(workspace_id const& workspace, double rate, mono_time now);
 
     /** @param hosts that are known to share the limits, this one included. */
@@ -62,15 +63,20 @@
     /** @return requests per second before rejection, smoothed; 0 for a workspace without limit. */
     [[nodiscard]] double demand(workspace_id const& workspace, mono_time now) const;
 
+    /** @return requests per second that this host may admit of the workspace. */
+    [[nodiscard]] double claim(workspace_id const& workspace, mono_time now) const;
+
     /** @return the counts of all workspaces with a limit. */
     [[nodiscard]] std::vector<quota_count> counts() const;
 
     static constexpr milliseconds return_time{10'000};
+    static constexpr milliseconds claim_lifetime{45'000};
 
 private:
     struct bucket {
         workspace_limit limit;
         double claim = 0;
+        mono_time renewed{}; ///< when the claim was last set
         double size = 0;
         double units = 0;
         mono_time refilled{};
@@ -88,7 +94,6 @@
     [[nodiscard]] milliseconds minimum_interval(bucket const& entry) const;
 
     quota_settings settings_;
-    std::string host_;
     int hosts_ = 1;
     std::unordered_map<workspace_id, bucket> buckets_;
 };
--- a/tests/quota/quota_fleet.h
+++ b/tests/quota/quota_fleet.h
@@ -44,11 +44,16 @@
         auto const phase = milliseconds(random_below(random, 250));
         auto host = std::make_unique<sim_host>(sim_host{
             host_view(self, random()),
-            quota_claims({self.name, self.zone, self.incarnation, {zone_id("a"), zone_id("b"), zone_id("c")}},
+            quota_claims({self.name, self.zone, {zone_id("a"), zone_id("b"), zone_id("c")}},
                          settings, now),
-            quota_limiter(settings, name), zone, limit_, now + phase});
+            quota_limiter(settings), zone, limit_, now + phase});
         host->view.add_seed("a1");
         host->view.add_seed("b1");
+        for (auto const& [other, known] : hosts) {
+            host->view.add_contact(node_id(other), known->view.zone_hosts(now).front()->zone, other,
+                                   now);
+        }
+        host->view.add_seed(zone + "1");
         hosts[name] = std::move(host);
         configure(name);
     }
@@ -79,7 +84,7 @@
     {
         double sum = 0;
         for (auto const& [name, host] : hosts) {
-            sum += host->claims.claim(customer);
+            sum += host->limiter.claim(customer, now);
         }
         return sum;
     }
@@ -127,8 +132,7 @@
         }
         double const seconds = std::chrono::duration<double>(settings.window).count();
         double const due = seconds * highest.rate + highest.burst;
-        return static_cast<double>(window.size()) /
-               (due * (1 + settings.overage) + settings.slack);
+        return static_cast<double>(window.size()) / (due * (1 + settings.overage) + settings.slack);
     }
 
     static constexpr milliseconds step_time{10};
@@ -197,6 +201,9 @@
         for (zone_status const& status : host.view.zones(now)) {
             host.claims.hear(status, now);
         }
+        for (node_id const& peer : host.view.starting_zone_peers(now)) {
+            host.claims.expect(peer, now);
+        }
         host.claims.tick({[&](workspace_id const& id) { return host.limiter.demand(id, now); },
                           host_view::tick_interval, false},
                          now);
--- a/tests/quota/quota_property_test.cpp
+++ b/tests/quota/quota_property_test.cpp
@@ -25,10 +25,9 @@
         }
         break;
     case 3:
-        fleet.cut = fleet.cut.empty() ? std::set{random_below(fleet.random, 2) == 0
-                                                     ? name
-                                                     : name.substr(0, 1)}
-                                      : std::set<std::string>{};
+        fleet.cut = fleet.cut.empty()
+                        ? std::set{random_below(fleet.random, 2) == 0 ? name : name.substr(0, 1)}
+                        : std::set<std::string>{};
         break;
     case 4:
         if (host != fleet.hosts.end() && !host->second->paused) {
