--- a/src/quota/quota_limiter.cpp
+++ b/src/quota/quota_limiter.cpp
@@ -18,6 +18,12 @@
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
+/** @return @p demand after the time from @p measured to @p now without a request. */
+double decayed(double demand, mono_time measured, mono_time now)
+{
+    return demand * std::exp(-seconds_between(measured, now) / demand_smoothing_seconds);
+}
+
 milliseconds to_wait(double seconds)
 {
     double const longest = std::chrono::duration<double>(longest_wait).count();
@@ -87,7 +93,7 @@
         return {};
     }
     bucket& entry = found->second;
-    entry.demand = demand(workspace, now) + 1 / demand_smoothing_seconds;
+    entry.demand = decayed(entry.demand, entry.measured, now) + 1 / demand_smoothing_seconds;
     entry.measured = now;
     if (now > entry.renewed + claim_lifetime) {
         entry.claim = 0;
@@ -162,8 +168,7 @@
         return 0;
     }
     bucket const& entry = found->second;
-    double const age = seconds_between(entry.measured, now);
-    return entry.demand * std::exp(-age / demand_smoothing_seconds);
+    return entry.demand == 0 ? 0 : decayed(entry.demand, entry.measured, now);
 }
 
 double quota_limiter::claim(workspace_id const& workspace, mono_time now) const
--- a/tests/quota/quota_property_test.cpp
+++ b/tests/quota/quota_property_test.cpp
@@ -13,7 +13,7 @@
 /** Draws the next disturbance of a run. */
 void disturb(quota_fleet& fleet)
 {
-    std::string const name = names[random_below(fleet.random, names.size())];
+    std::string const& name = names[random_below(fleet.random, names.size())];
     auto const host = fleet.hosts.find(name);
     switch (random_below(fleet.random, 8)) {
     case 0:
--- a/tests/quota/quota_service_test.cpp
+++ b/tests/quota/quota_service_test.cpp
@@ -15,7 +15,7 @@
     void run(workspace_limit limit, std::vector<double> const& rates,
              std::function<void(milliseconds)> const& disturb = {})
     {
-        limit_ = limit;
+        agreed = limit;
         fleet = std::make_unique<quota_fleet>(7, limit);
         for (char const* const name : {"a1", "a2", "b1", "b2", "c1", "c2"}) {
             fleet->add(name);
@@ -40,7 +40,7 @@
             for (auto const& [name, host] : fleet->hosts) {
                 offered += host->paused ? 0 : host->rate;
             }
-            due += std::min(offered, limit_.rate) * 0.01;
+            due += std::min(offered, agreed.rate) * 0.01;
         }
     }
 
@@ -52,7 +52,7 @@
         EXPECT_LE(most, 1);
     }
 
-    workspace_limit limit_;
+    workspace_limit agreed;
     std::unique_ptr<quota_fleet> fleet;
     double due = 0;  ///< requests within the rate
     double most = 0; ///< requests in a window, as a share of the bound
@@ -106,8 +106,8 @@
 {
     run({60, 30}, std::vector<double>(6, 20), [this](milliseconds done) {
         if (done == seconds{20} || done == seconds{40}) {
-            limit_.rate = done == seconds{20} ? 30 : 60;
-            fleet->set_limit(limit_);
+            agreed.rate = done == seconds{20} ? 30 : 60;
+            fleet->set_limit(agreed);
             for (auto const& [name, host] : fleet->hosts) {
                 fleet->configure(name);
             }
