--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -5,6 +5,7 @@
  */
 
 #include <chrono>
+#include <ctime>
 
 namespace cove {
 
@@ -21,6 +22,26 @@
     wall_time wall; ///< may step; for planned moves and events only
 };
 
+/** CLOCK_BOOTTIME: like the monotonic clock, but it goes on while the machine is suspended. */
+struct boot_clock {
+    using duration = microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock, duration>;
+    static constexpr bool is_steady = true;
+};
+
+using boot_time = boot_clock::time_point;
+
+/** Reads the boot clock; must not be called from a reducer. */
+inline boot_time read_boot_clock()
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return boot_time(seconds(now.tv_sec) + std::chrono::duration_cast<microseconds>(
+                                               std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 /** Reads both clocks; must not be called from a reducer. */
 inline instant read_clocks()
 {
