Report what the store's answers prove of the configuration

Cause: a host has to know up to which moment its configuration is the newest. Change: the follower reports the proven moment of each successful call, and can replace its watch by one without wait. The new cases in follow_test and platform_test were not run when this was committed.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -1,6 +1,7 @@
 #include "follow/follower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cove {
 
@@ -74,6 +75,16 @@
     }
 }
 
+void follower::watch_without_wait()
+{
+    bool const waiting = call_pending_ && listed_ && times_.wait > milliseconds{0};
+    if (waiting) {
+        calls_.abort();
+        without_wait_ = true;
+        call_store();
+    }
+}
+
 void follower::set_active(bool active)
 {
     if (active == active_) {
@@ -104,6 +115,7 @@
 {
     call_pending_ = true;
     call_started_ = read_clocks().mono;
+    call_started_boot_ = read_boot_clock();
     times_ = {};
     auto const done = [this, watched = listed_](follow_result const& answer) {
         call_pending_ = false;
@@ -111,12 +123,13 @@
     };
     if (listed_) {
         // After a failure, an answer without delay tells that the store is back.
-        times_ = reachable_ && !unanswered_
+        times_ = reachable_ && !unanswered_ && !std::exchange(without_wait_, false)
                      ? timing_.next()
                      : watch_times{milliseconds{0}, watch_timing::max_timeout};
         calls_.watch(at_, times_, done);
     }
     else {
+        list_freshness_ = next_list_;
         calls_.list(next_list_, done);
     }
 }
@@ -139,6 +152,7 @@
             timing_.add_answer(elapsed - times_.wait);
         }
         on_data(answer.at, watched);
+        report_proof(answer, watched, elapsed);
         break;
     case follow_status::history_expired:
         unanswered_ = false;
@@ -159,6 +173,22 @@
     }
 }
 
+/**
+ * Reports up to which moment a successful call proves the copy to be new. A watch that returned
+ * nothing proves the end of its wait, provided that the wait has passed on this host's clock too.
+ */
+void follower::report_proof(follow_result const& answer, bool watched, milliseconds elapsed) const
+{
+    // on_data() has not taken an answer that leaves listed_ false or names an earlier era.
+    bool const taken = listed_ && answer.at.era >= era_;
+    bool const current = watched || list_freshness_ == read_freshness::current;
+    if (!calls_.proved || !taken || !current || answer.unreadable) {
+        return;
+    }
+    bool const waited = watched && !answer.changed && elapsed >= times_.wait;
+    calls_.proved(call_started_boot_ + (waited ? times_.wait : milliseconds{0}), answer.at.era);
+}
+
 void follower::on_data(store_position at, bool watched)
 {
     if (at.era < era_) { // sent before the store went back
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -25,8 +25,10 @@
 /** The outcome of a call and the position to continue from. */
 struct follow_result {
     follow_status status = follow_status::failed;
-    store_position at;  ///< only the era, if the call was not done; that may be unknown
-    std::string detail; ///< reason of a failure, for the log
+    store_position at;       ///< only the era, if the call was not done; that may be unknown
+    std::string detail;      ///< reason of a failure, for the log
+    bool changed = false;    ///< a watch returned changes
+    bool unreadable = false; ///< the newest state of an object could not be read, now or before
 };
 
 /** The calls that a follower makes; each delivers its objects or changes before it calls done. */
@@ -37,6 +39,9 @@
     std::function<void(store_position, watch_times, done)> watch;
     std::function<void()> abort; ///< cancels the pending call; its done is not called
     std::function<void(bool up, std::string const& detail)> reachable; ///< on each change
+    /// The copy has every change that the store acknowledged before that moment; the era is that of
+    /// the answer which proves it. Called after the changes were delivered.
+    std::function<void(boot_time, store_era)> proved = nullptr;
 };
 
 /**
@@ -87,6 +92,9 @@
      */
     void set_silence_max(milliseconds silence_max);
 
+    /** Replaces a pending watch by one that the store answers at once, to prove the copy new. */
+    void watch_without_wait();
+
     /** @return whether the last call succeeded; true before the first one has ended. */
     [[nodiscard]] bool reachable() const { return reachable_; }
 
@@ -99,6 +107,7 @@
     void call_store();
     void on_answer(follow_result const& answer, bool watched);
     void on_data(store_position at, bool watched);
+    void report_proof(follow_result const& answer, bool watched, milliseconds elapsed) const;
     void schedule_call(milliseconds wait);
     void set_reachable(bool up, std::string const& detail);
 
@@ -107,10 +116,13 @@
     backoff retry_delays_;
     milliseconds batch_delay_ = default_batch_delay;
     watch_timing timing_;
-    watch_times times_;        ///< of the last watch
-    mono_time call_started_{}; ///< of the last call
-    store_position at_;        ///< of the copy
-    store_era era_;            ///< latest one known
+    watch_times times_;                                       ///< of the last watch
+    mono_time call_started_{};                                ///< of the last call
+    boot_time call_started_boot_{};                           ///< the same moment
+    read_freshness list_freshness_ = read_freshness::current; ///< of the last list
+    bool without_wait_ = false;                               ///< the next watch is not to wait
+    store_position at_;                                       ///< of the copy
+    store_era era_;                                           ///< latest one known
     bool active_ = false;
     bool listed_ = false;
     read_freshness next_list_ = read_freshness::current;
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -34,6 +34,7 @@
             answer = nullptr;
         };
         out.reachable = [this](bool up, std::string const&) { up ? ++regained : ++lost; };
+        out.proved = [this](boot_time at, store_era) { proofs.push_back(at); };
         return out;
     }
 
@@ -63,6 +64,7 @@
     boost::asio::io_context loop;
     loop_timers timers;
     follow_calls::done answer;
+    std::vector<boot_time> proofs;
     int lists = 0;
     int watches = 0;
     int aborts = 0;
@@ -87,6 +89,42 @@
     EXPECT_GE(read_clocks().mono - listed, milliseconds{400});
 }
 
+// Guards against a proof by a failed or early answer that reaches beyond the start of the call.
+TEST_F(follower_case, an_answer_proves_the_start_of_its_call)
+{
+    boot_time const before = read_boot_clock();
+    subject.set_active(true);
+    subject.start(true);
+    boot_time const started = read_boot_clock();
+    reply(follow_status::done, 40);
+    ASSERT_EQ(proofs.size(), 1U);
+    EXPECT_GE(proofs[0], before);
+    EXPECT_LE(proofs[0], started);
+    ASSERT_TRUE(calls_again());
+    reply(follow_status::done, 40); // long before the end of its wait
+    ASSERT_EQ(proofs.size(), 2U);
+    EXPECT_LE(proofs[1], read_boot_clock());
+    ASSERT_TRUE(calls_again());
+    reply(follow_status::failed);
+    EXPECT_EQ(proofs.size(), 2U);
+}
+
+// Guards against an age of the proof that grows as long as a watch waits.
+TEST_F(follower_case, a_watch_is_replaced_by_one_that_does_not_wait)
+{
+    watch_from_40();
+    subject.watch_without_wait();
+    EXPECT_EQ(aborts, 1);
+    EXPECT_EQ(watches, 2);
+    EXPECT_EQ(watch_wait, milliseconds{0});
+    subject.watch_without_wait(); // is answered at once anyway
+    EXPECT_EQ(aborts, 1);
+    reply(follow_status::done, 40);
+    EXPECT_EQ(proofs.size(), 2U);
+    ASSERT_TRUE(calls_again());
+    EXPECT_GT(watch_wait, milliseconds{0});
+}
+
 TEST_F(follower_case, lists_once_and_then_watches_from_the_last_revision)
 {
     subject.set_active(true);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -236,6 +236,8 @@
         odd_workspace{"no_name", nullptr, json::object(), "resources/4/metadata/name"},
         odd_workspace{"empty_name", "", json::object(), "resources/4/metadata/name"},
         odd_workspace{"no_keys", "a", {{"api_keys", nullptr}}, "resources/4/spec/api_keys"},
+        odd_workspace{
+            "empty_keys", "a", {{"api_keys", json::array()}}, "resources/4/spec/api_keys"},
         odd_workspace{"empty_key", "a", {{"api_keys", {""}}}, "resources/4/spec/api_keys"},
         odd_workspace{"key_no_text", "a", {{"api_keys", {7}}}, "resources/4/spec/api_keys"},
         odd_workspace{"key_with_space", "a", {{"api_keys", {"a b"}}}, "api_keys"},
