Admit requests by access key at entry hosts

Cause: hosts served every request whatever its key, and passed the client's key on to targets. Change: request_admission decides when a request is read and right before each write to a target or another host; host_freshness exchanges queries and answers; hosts with a stale configuration leave the look-ups while others of their zone are fresh; metrics and log lines.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -157,6 +157,10 @@
           loop, timers,
           {[this](call_id call, http_request const& request) { answer_metrics(call, request); },
            [](call_id) {}}),
+      freshness_(
+          node_id(settings_.name), settings_.ip, settings_.key_withdrawal_max, random_seed(), log_,
+          {[this](std::string const& ip, host_message const& message) { transmit({ip}, message); },
+           [this] { config_follower_.watch_without_wait(); }}),
       view_(self_report(settings_), random_seed()),
       transport_(loop, settings_.peer_port,
                  [this](std::string const& bytes) { on_message(bytes); }),
@@ -171,6 +175,7 @@
 {
     timers_.on_delay([this](microseconds delay) { report_delay(delay); });
     forwarder_.attach(clients_, relays_);
+    forwarder_.set_freshness([this] { return freshness_.fresh(); });
     forwarder_.on_links_changed([this](bool) {
         // Not at once, as the reducer's effects are still being carried out.
         timers_.once(read_clocks().mono, [this] { report_peers(read_clocks().mono); });
@@ -183,6 +188,7 @@
 {
     store_hooks out;
     out.config = [this](config_document const& document) {
+        freshness_.store_has(document.config.version);
         if (on_config(document, deflate_text(document.text), "store")) {
             push_config();
         }
@@ -236,6 +242,7 @@
         };
     };
     observe(calls.config, config_follower_, "config");
+    calls.config.proved = [this](boot_time at, store_era era) { freshness_.store_proved(at, era); };
     observe(calls.targets, target_follower_, "targets");
     observe(calls.evacuations, evacuation_follower_, "evacuations");
     return calls;
@@ -320,6 +327,7 @@
     if (era <= era_) {
         return;
     }
+    freshness_.enter_era(era);
     bool const went_back = era_ != store_era{};
     era_ = era;
     if (!went_back) {
@@ -531,6 +539,7 @@
     relay_limits.body_bytes = limits.body_bytes;
     relays_.set_limits(relay_limits);
     forwarder_.set_config(config);
+    freshness_.config_applied(config.version);
     log_.event("config_in_force",
                {{"version", std::to_string(config.version.value)},
                 {"routes", std::to_string(config.routes.size())},
@@ -564,6 +573,7 @@
     own.versions = versions();
     own.store_lost = store_lost();
     own.cut_off = forwarder_.cut_off();
+    own.stale_config = forwarder_.admission().has_workspaces() && !freshness_.fresh();
     own.loads = forwarder_.loads();
     for (auto const& [target, in_flight] : forwarder_.in_flight_by_target()) {
         own.targets_in_flight.push_back({target, in_flight});
@@ -701,6 +711,11 @@
            std::to_string(forwarder_.blocked_requests()) + "\n";
     out += "# TYPE cove_failed_requests counter\ncove_failed_requests " +
            std::to_string(forwarder_.failed_requests()) + "\n";
+    out += freshness_.prometheus();
+    out += "# TYPE cove_unauthorized_requests counter\ncove_unauthorized_requests " +
+           std::to_string(forwarder_.admission().unauthorized()) + "\n";
+    out += "# TYPE cove_stale_config_refusals counter\ncove_stale_config_refusals " +
+           std::to_string(forwarder_.admission().stale_refusals()) + "\n";
     out += "# TYPE cove_bytes_to_peers counter\n";
     for (auto const& [kind, bytes] : bytes_to_peers_) {
         out += "cove_bytes_to_peers{message=\"" + kind + "\"} " + std::to_string(bytes) + "\n";
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -7,6 +7,7 @@
 #include "directory/lookup.h"
 #include "directory/remote_quotas.h"
 #include "follow/lag_detector.h"
+#include "host/host_freshness.h"
 #include "host/host_settings.h"
 #include "host/request_forwarder.h"
 #include "host/store_calls.h"
@@ -125,6 +126,7 @@
     http_server directory_;
     http_server relays_; ///< requests of hosts that are cut off from the targets
     http_server metrics_;
+    host_freshness freshness_;
     host_view view_;
     loop_transport transport_;
     store_calls store_;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -88,6 +88,7 @@
     report_peers(now);
     update_store_following(now);
     pull_if_behind(now);
+    freshness_.tick(view_, follows_store_, forwarder_.admission().has_workspaces(), now);
     repeat_crashes(now);
 }
 
@@ -234,9 +235,15 @@
     }
 }
 
-void entry_host::on(freshness_query const& /*message*/) {}
+void entry_host::on(freshness_query const& message)
+{
+    freshness_.on(message);
+}
 
-void entry_host::on(freshness_answer const& /*message*/) {}
+void entry_host::on(freshness_answer const& message)
+{
+    freshness_.on(message);
+}
 
 /** Reports ended targets to this zone and to one host of each other zone, which passes it on. */
 void entry_host::spread_crashes(std::vector<crash_record> const& records)
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -64,11 +64,12 @@
     return value;
 }
 
-request_fingerprint fingerprint_of(http_request const& request)
+/** @param identity of the client, as far as it tells its requests apart from those of others. */
+request_fingerprint fingerprint_of(http_request const& request, std::string const& identity)
 {
     std::uint64_t hash = 0;
     for (auto const part : {request.method_string(), request[http::field::host], request.target(),
-                            request[http::field::authorization]}) {
+                            boost::beast::string_view(identity)}) {
         hash = stable_hash({part.data(), part.size()}, hash);
     }
     return request_fingerprint(stable_hash(request.body(), hash));
@@ -130,7 +131,8 @@
                                      exchange_limits const& limits, log_limiter& log,
                                      loop_monitor& monitor)
     : timers_(timers), names_(std::move(names)), log_(log), monitor_(monitor),
-      traffic_(std::move(settings)), pool_(loop, timers, limits), relay_pool_(loop, timers, limits)
+      traffic_(std::move(settings)), pool_(loop, timers, limits), relay_pool_(loop, timers, limits),
+      admission_({names_.workspace, names_.key_scheme}, log)
 {
     tick_ = timers_.every(tick_interval, [this] {
         if (traffic_.needs_ticks()) {
@@ -147,8 +149,7 @@
 void request_forwarder::feed(traffic_event const& event)
 {
     perform(event);
-    drop_departed();
-    drop_failed();
+    drop_ended();
 }
 
 void request_forwarder::perform(traffic_event const& event)
@@ -185,6 +186,16 @@
     }
 }
 
+/** Ends the requests that the last effects have marked; ending one may mark others. */
+void request_forwarder::drop_ended()
+{
+    while (!performing_ && !(departed_.empty() && stopped_.empty() && failed_.empty())) {
+        drop_departed();
+        drop_stopped();
+        drop_failed();
+    }
+}
+
 /** Ends the requests whose handling has failed, once the current effects are done. */
 void request_forwarder::drop_failed()
 {
@@ -236,8 +247,14 @@
         respond(*open.server, open.call, http::status::not_found, milliseconds{0});
         return;
     }
+    admission_result const admitted = admission_.admit(request, *route, relayed);
+    if (admitted.refused != http::status::unknown) {
+        refuse(*open.server, open.call, admitted.refused);
+        return;
+    }
     open.attempt_id = to_std_string(request[names_.attempt_id]);
-    open.fingerprint = fingerprint_of(request);
+    open.fingerprint = fingerprint_of(request, admitted.identity);
+    open.credentials = admitted.credentials;
     open.route = route;
     open.service = round_robin_.next(*route);
     open.arrived = read_clocks().mono;
@@ -249,7 +266,8 @@
                           open.client,
                           deadline ? milliseconds(*deadline) : route->timeout,
                           open.fingerprint,
-                          relayed};
+                          relayed,
+                          admitted.terms};
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
@@ -273,8 +291,7 @@
     bool const unsent =
         found != open_.end() && found->second.connection && !found->second.connection->sending();
     drop(id, unsent);
-    drop_departed();
-    drop_failed();
+    drop_ended();
 }
 
 /** Ends the requests whose clients were found to have left, once the current effects are done. */
@@ -298,15 +315,58 @@
     }
 }
 
-/** @return a test whether the client of request @p id is still there. */
-exchange_connection::condition request_forwarder::client_connected(request_id id) const
+/** @return whether the client of request @p id is still there. */
+bool request_forwarder::client_connected(request_id id) const
+{
+    auto const found = open_.find(id);
+    return found != open_.end() && found->second.server->client_connected(found->second.call);
+}
+
+/** @return a test whether request @p id is still to be sent. */
+exchange_connection::condition request_forwarder::still_wanted(request_id id) const
 {
     return [this, id] {
-        auto const found = open_.find(id);
-        return found != open_.end() && found->second.server->client_connected(found->second.call);
+        return client_connected(id) && admission_.may_send(open_.at(id).credentials);
     };
 }
 
+/** @return whether the request must not be sent; it is then answered after the current effects. */
+bool request_forwarder::stop_unless_admitted(request_id id, open_request const& open)
+{
+    if (admission_.may_send(open.credentials)) {
+        return false;
+    }
+    stopped_.push_back(id);
+    return true;
+}
+
+/** Ends a request that was not sent, as its client has left or its access key is not valid. */
+void request_forwarder::end_withdrawn(request_id id)
+{
+    (client_connected(id) ? stopped_ : departed_).push_back(id);
+    drop_ended();
+}
+
+/** Answers the requests that may not be sent any more, by their access keys. */
+void request_forwarder::drop_stopped()
+{
+    while (!performing_ && !stopped_.empty()) {
+        request_id const id = stopped_.back();
+        stopped_.pop_back();
+        perform(client_disconnected{id, true}); // frees its slot; nothing of it is under way
+        auto const found = open_.find(id);
+        if (found == open_.end()) {
+            continue;
+        }
+        open_request const open = std::move(found->second);
+        open_.erase(found);
+        admission_.note_stopped(open.attempt_id, open.credentials);
+        record_outcome(open, "not_admitted");
+        refuse(*open.server, open.call,
+               open.may_have_run ? http::status::bad_gateway : http::status::service_unavailable);
+    }
+}
+
 void request_forwarder::execute(send_attempt const& effect)
 {
     auto const found = open_.find(effect.id);
@@ -314,7 +374,11 @@
         return;
     }
     open_request& open = found->second;
+    if (stop_unless_admitted(effect.id, open)) {
+        return;
+    }
     http_request message = open.message;
+    admission_.prepare_for_target(message, open.credentials);
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(names_.expected_target, effect.target.value);
     message.prepare_payload();
@@ -339,7 +403,7 @@
         [this, effect, fresh](exchange_result result) {
             on_exchange_end(effect.id, effect, fresh, std::move(result));
         },
-        client_connected(effect.id));
+        still_wanted(effect.id));
 }
 
 /** Gives up connecting, so that the request goes elsewhere while there is time. */
@@ -359,9 +423,13 @@
     if (found == open_.end()) {
         return;
     }
-    ++relayed_requests_;
     open_request& open = found->second;
+    if (stop_unless_admitted(effect.id, open)) {
+        return;
+    }
+    ++relayed_requests_;
     http_request message = open.message;
+    admission_.prepare_for_relay(message, open.credentials);
     message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(client_field, open.client);
     message.prepare_payload();
@@ -380,7 +448,7 @@
         [this, effect](exchange_result result) {
             on_relay_end(effect.id, effect, std::move(result));
         },
-        client_connected(effect.id));
+        still_wanted(effect.id));
 }
 
 void request_forwarder::on_relay_end(request_id id, relay_request const& relay,
@@ -395,8 +463,7 @@
     open.connection.reset();
     if (result.outcome == exchange_outcome::withdrawn) {
         relay_pool_.release(target_id(relay.address), connection);
-        departed_.push_back(id);
-        drop_departed();
+        end_withdrawn(id);
         return;
     }
     relay_ended event{id, relay_end::broken};
@@ -408,6 +475,7 @@
             promises_not_run(result.response.result()) ? relay_end::refused : relay_end::answered;
         relay_pool_.release(target_id(relay.address), connection);
     }
+    open.may_have_run = open.may_have_run || event.end == relay_end::broken;
     if (event.end != relay_end::answered) {
         log_.event("relay_failed",
                    {{"request", open.attempt_id},
@@ -520,8 +588,7 @@
     open.connection.reset();
     if (result.outcome == exchange_outcome::withdrawn) {
         pool_.release(attempt.target, connection);
-        departed_.push_back(id);
-        drop_departed();
+        end_withdrawn(id);
         return;
     }
     attempt_ended event{
@@ -536,6 +603,8 @@
         }
         pool_.release(attempt.target, connection);
     }
+    open.may_have_run =
+        open.may_have_run || event.end == attempt_end::failed || event.end == attempt_end::broken;
     if (event.end != attempt_end::succeeded) {
         log_.event("attempt_failed",
                    {{"request", open.attempt_id},
@@ -566,6 +635,7 @@
         return;
     }
     open_request& open = found->second;
+    open.may_have_run = open.may_have_run || open.connection->sending();
     if (effect.overdue) {
         open.pool->give_up(open.peer, open.connection);
     }
@@ -644,6 +714,19 @@
     server.respond(call, std::move(response));
 }
 
+/** Answers a request that is not admitted. */
+void request_forwarder::refuse(http_server& server, call_id call, http::status status) const
+{
+    http_response response(status, http_version);
+    if (status == http::status::service_unavailable) {
+        response.set(http::field::retry_after, format_seconds(request_admission::retry_after));
+    }
+    else if (status == http::status::unauthorized) {
+        response.set(http::field::www_authenticate, admission_.key_scheme());
+    }
+    server.respond(call, std::move(response));
+}
+
 void request_forwarder::record_outcome(open_request const& request, std::string const& outcome)
 {
     metrics_.add(request.service, class_id(request.route->name.value), outcome,
@@ -653,6 +736,7 @@
 void request_forwarder::set_config(routing_config const& config)
 {
     routes_ = std::make_unique<route_table>(config);
+    admission_.set_config(config);
     round_robin_.keep_only(config);
     feed(services_listed{config.services});
 }
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 /** @file Forwards client requests to targets as the traffic reducer decides. */
 
+#include "host/request_admission.h"
 #include "host/target_connection_pool.h"
 #include "http/server.h"
 #include "log/log_limiter.h"
@@ -72,6 +73,10 @@
     void on_relayed_request(call_id call, http_request request);
     void on_relay_disconnected(call_id call);
 
+    /** @param fresh whether the configuration is new enough for decisions on access keys. */
+    void set_freshness(std::function<bool()> fresh) { admission_.set_freshness(std::move(fresh)); }
+    [[nodiscard]] request_admission const& admission() const { return admission_; }
+
     void set_config(routing_config const& config);
     void set_targets(std::vector<target_entry> const& entries);
     void change_targets(targets_changed const& changes);
@@ -115,11 +120,17 @@
         target_connection_pool::connection connection;
         target_connection_pool* pool = nullptr; ///< of the connection
         target_id peer;                         ///< of the connection, as the pool names it
+        request_credentials credentials;
+        bool may_have_run = false; ///< in an attempt that has ended
     };
 
     void feed(traffic_event const& event);
     void perform(traffic_event const& event);
     void drop_departed();
+    void drop_stopped();
+    void drop_ended();
+    bool stop_unless_admitted(request_id id, open_request const& open);
+    void end_withdrawn(request_id id);
     template <class Effect>
     void execute_guarded(Effect const& effect);
     void drop_failed();
@@ -135,13 +146,15 @@
     void accept(request_id id, open_request open, bool relayed);
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
-    [[nodiscard]] exchange_connection::condition client_connected(request_id id) const;
+    [[nodiscard]] bool client_connected(request_id id) const;
+    [[nodiscard]] exchange_connection::condition still_wanted(request_id id) const;
     void limit_connect_time(target_connection_pool::connection const& connection);
     void on_relay_end(request_id id, relay_request const& relay, exchange_result result);
     void on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
                          exchange_result result);
     static void respond(http_server& server, call_id call, boost::beast::http::status status,
                         milliseconds retry_after);
+    void refuse(http_server& server, call_id call, boost::beast::http::status status) const;
     void record_outcome(open_request const& request, std::string const& outcome);
     [[nodiscard]] response_match match(std::string const& attempt_id,
                                        http_response const& response) const;
@@ -156,10 +169,12 @@
     traffic traffic_;
     target_connection_pool pool_;
     target_connection_pool relay_pool_; ///< connections to other hosts, by their address
+    request_admission admission_;
     weighted_round_robin round_robin_;
     std::unique_ptr<route_table> routes_;
     std::unordered_map<request_id, open_request> open_;
     std::vector<request_id> departed_; ///< found without client when they were to be sent
+    std::vector<request_id> stopped_;  ///< not to be sent any more, by their access keys
     std::vector<request_id> failed_;   ///< their handling has ended with an exception
     bool performing_ = false;
     latency_metrics metrics_;
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -121,11 +121,13 @@
 void host_view::refresh_self(local_host_state const& own)
 {
     serving_changed_ = serving_changed_ || self_.leaving != own.leaving ||
-                       self_.ready != own.ready || self_.cut_off != own.cut_off;
+                       self_.ready != own.ready || self_.cut_off != own.cut_off ||
+                       self_.stale_config != own.stale_config;
     ++self_.sequence;
     self_.leaving = own.leaving;
     self_.ready = own.ready;
     self_.cut_off = own.cut_off;
+    self_.stale_config = own.stale_config;
     self_.versions = own.versions;
     self_.loads = own.loads;
     self_.store_lost = own.store_lost;
@@ -145,11 +147,18 @@
     return out;
 }
 
+/** @return the serving hosts of this zone; those with a stale configuration if there are no others.
+ */
 std::vector<roster_host> host_view::own_roster(mono_time now) const
 {
     std::vector<roster_host> out;
-    for (host_report const* const host : zone_hosts(now)) {
-        if (host->ready && !host->leaving && !host->cut_off) {
+    auto hosts = zone_hosts(now);
+    std::erase_if(hosts,
+                  [](auto const* host) { return !host->ready || host->leaving || host->cut_off; });
+    bool const any_fresh = std::any_of(hosts.begin(), hosts.end(),
+                                       [](auto const* host) { return !host->stale_config; });
+    for (host_report const* const host : hosts) {
+        if (!any_fresh || !host->stale_config) {
             out.push_back(
                 {host->name, host->zone, host->ip, host->client_address, host->incarnation});
         }
@@ -340,7 +349,8 @@
         serving_changed_ =
             serving_changed_ || !host.has_reported ||
             report.incarnation != host.report.incarnation || report.ready != host.report.ready ||
-            report.cut_off != host.report.cut_off || report.leaving != host.report.leaving;
+            report.cut_off != host.report.cut_off || report.leaving != host.report.leaving ||
+            report.stale_config != host.report.stale_config;
         bool const reporting = host.has_reported && now - host.last_heard < silent_peer_retention;
         reporting_peers_ += reporting ? 0 : 1;
         host = {report, now, true, host.known_since};
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -70,6 +70,7 @@
     std::vector<target_in_flight> targets_in_flight;
     std::vector<target_limit_report> target_limits;
     std::vector<service_objects> new_objects;
+    bool stale_config = false; ///< cannot prove that its configuration is the newest
 };
 
 /**
