--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -72,6 +72,7 @@
     std::vector<service_objects> new_objects;
     std::vector<quota_demand> quota_demands;      ///< of this host
     std::vector<quota_demand> zone_quota_demands; ///< of the zone, for its status
+    bool stale_config = false; ///< cannot prove that its configuration is the newest
 };
 
 /**
