Test the entry host under abusive client loads

Nothing checks memory and descriptors of the process when clients send without end, leave bodies open or do not read. Adds crowd_test, which starts cove-host at memory_mb 160 and max_descriptors 400 and bounds VmHWM and VmRSS by 100 MiB and the descriptors by the setting.

--- a/src/deploy/child_process.h
+++ b/src/deploy/child_process.h
@@ -29,6 +29,9 @@
 
     bool running();
 
+    /** @return the process id; -1 while it is not running. */
+    [[nodiscard]] pid_t id() const { return pid_; }
+
     /**
      * Waits up to @p timeout for the process to end.
      * @return its exit status, the negated signal that ended it, or nothing if it still runs.
--- /dev/null
+++ b/tests/crowd/crowd_test.cpp
@@ -0,0 +1,136 @@
+#include "crowd/client_crowd.h"
+#include "crowd/crowd_host.h"
+
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+constexpr std::size_t max_resident_kb = 100 * 1024; ///< at memory_mb 160
+constexpr std::size_t body_limit = 1 << 20;
+constexpr std::size_t large_body = 64 << 20;
+
+std::string post_head(std::string const& framing)
+{
+    return std::string("POST /a/x HTTP/1.1\r\nHost: ") + crowd_host::host_name + "\r\n" + framing +
+           "\r\n\r\n";
+}
+
+std::string declared(std::size_t bytes)
+{
+    return "Content-Length: " + std::to_string(bytes);
+}
+
+constexpr char const* chunked = "Transfer-Encoding: chunked";
+
+/** A chunk that is sent over and over. */
+std::string chunk()
+{
+    return "400\r\n" + std::string(0x400, 'c') + "\r\n";
+}
+
+/** Expects that the host withstands @p plan: bounded memory and descriptors, and it serves after.
+ */
+void expect_withstands(crowd_plan const& plan, crowd_limits limits = {})
+{
+    crowd_host host(limits);
+    ASSERT_TRUE(host.start());
+    std::size_t descriptors = 0;
+    run_crowd(host.port(), plan,
+              [&] { descriptors = std::max(descriptors, host.usage().descriptors); });
+    ASSERT_TRUE(host.running());
+    process_usage const after = host.usage();
+    std::printf("peak %zu kB, resident %zu kB, descriptors %zu\n", after.peak_kb, after.resident_kb,
+                descriptors);
+    EXPECT_LT(after.peak_kb, max_resident_kb);
+    EXPECT_LT(after.resident_kb, max_resident_kb);
+    EXPECT_LE(descriptors, static_cast<std::size_t>(limits.max_descriptors));
+    EXPECT_EQ(host.post("ordinary", false), 200);
+    EXPECT_TRUE(host.running());
+}
+
+// Trailers were collected without a limit: 24 clients took 2,431 MB.
+TEST(crowd, trailers_without_end)
+{
+    expect_withstands({.clients = 24,
+                       .head = post_head(chunked) + "1\r\nx\r\n0\r\n",
+                       .repeated = "X-Trailer: " + std::string(1000, 't') + "\r\n",
+                       .bytes = 8 << 20});
+}
+
+// Incomplete bodies of legal size counted towards no common limit.
+TEST(crowd, bodies_one_byte_short)
+{
+    expect_withstands({.clients = 150,
+                       .head = post_head(declared(body_limit)),
+                       .repeated = "b",
+                       .bytes = body_limit - 1});
+}
+
+// The same for complete bodies, whose requests wait for a target; each was held twice when sent.
+TEST(crowd, whole_bodies)
+{
+    expect_withstands({.clients = 150,
+                       .head = post_head(declared(body_limit)),
+                       .repeated = "b",
+                       .bytes = body_limit});
+}
+
+// Bodies without declared length doubled their memory while they grew.
+TEST(crowd, bodies_piece_by_piece)
+{
+    expect_withstands({.clients = 150,
+                       .head = post_head(chunked),
+                       .repeated = chunk(),
+                       .bytes = chunk().size() * 1000,
+                       .tail = "0\r\n\r\n",
+                       .piece = 4096});
+}
+
+TEST(crowd, bodies_over_the_limit_declared)
+{
+    expect_withstands(
+        {.clients = 24, .head = post_head(declared(1 << 30)), .repeated = "b", .bytes = 32 << 20});
+}
+
+TEST(crowd, bodies_over_the_limit_just_sent)
+{
+    expect_withstands(
+        {.clients = 24, .head = post_head(chunked), .repeated = chunk(), .bytes = 32 << 20});
+}
+
+// Clients could take all descriptors, so that no connection to a target was left.
+TEST(crowd, idle_connections)
+{
+    expect_withstands({.clients = 900});
+}
+
+TEST(crowd, clients_that_do_not_read)
+{
+    std::string const get = std::string("GET /a/large HTTP/1.1\r\nHost: ") + crowd_host::host_name +
+                            "\r\nX-Attempt-Id: a\r\n\r\n";
+    expect_withstands({.clients = 100, .head = get, .reads = false, .hold = milliseconds{4000}});
+}
+
+TEST(crowd, pipelined_heads_without_end)
+{
+    std::string const get =
+        std::string("GET /a/x HTTP/1.1\r\nHost: ") + crowd_host::host_name + "\r\n\r\n";
+    expect_withstands({.clients = 50, .repeated = get, .bytes = 4 << 20, .reads = false});
+}
+
+// A body was copied to be sent, so that the largest legal request took twice its size.
+TEST(crowd, single_large_body_is_served)
+{
+    for (bool const in_chunks : {false, true}) {
+        crowd_host host({.body_bytes = large_body});
+        ASSERT_TRUE(host.start());
+        EXPECT_EQ(host.post(std::string(large_body, 'b'), in_chunks), 200);
+        process_usage const after = host.usage();
+        std::printf("peak %zu kB, resident %zu kB\n", after.peak_kb, after.resident_kb);
+        EXPECT_LT(after.peak_kb, max_resident_kb);
+    }
+}
+
+} // namespace
+} // namespace cove
