Bound all buffers of the entry host by one byte budget

Trailers had no limit, bodies of clients counted towards no common limit, each body was copied to be sent, and clients could take all descriptors.

Idle connections release body and buffer. Client connections are bounded by three quarters of max_descriptors; the longest idle one is closed at the bound. What follows a rejected request is read for at most 1 s and 64 KB.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -7,7 +7,10 @@
 #include <algorithm>
 #include <cmath>
 #include <ctime>
+#include <fstream>
 #include <random>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace cove {
 
@@ -51,8 +54,10 @@
 /// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
 /// well.
 constexpr double bulk_answer_bytes_per_second = 400'000;
-/// Part of the memory that answers may take; a growing buffer takes up to twice its bytes.
-constexpr std::uint64_t answer_memory_divisor = 4;
+/// Part of the memory that buffers may take, less what the process needs itself.
+constexpr std::uint64_t buffer_memory_divisor = 2;
+constexpr std::uint64_t min_buffer_divisor = 8; ///< buffers get at least this part of the memory
+constexpr std::uint64_t file_descriptors = 200; ///< of the process limit: files, other hosts
 /// A client gives up a host that has not read its request after a second; this is a warning before.
 constexpr milliseconds reported_delay{200};
 /// `loop_late` lines cover the work since the last note.
@@ -88,11 +93,36 @@
         settings.shift_cap,     settings.crash_retention};
 }
 
-/** @return bytes that the answers under way may take together. */
-std::uint64_t answer_memory(host_settings const& settings)
+/** @return the resident memory of this process in bytes, 0 if unknown. */
+std::uint64_t resident_bytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/** @return bytes that all buffers may take together. */
+std::uint64_t buffer_memory(host_settings const& settings)
 {
     constexpr std::uint64_t bytes_per_mb = 1 << 20;
-    return static_cast<std::uint64_t>(settings.memory_mb) * bytes_per_mb / answer_memory_divisor;
+    std::uint64_t const all = static_cast<std::uint64_t>(settings.memory_mb) * bytes_per_mb;
+    std::uint64_t const least = all / min_buffer_divisor;
+    std::uint64_t const half = all / buffer_memory_divisor;
+    return std::max(least, half - std::min(half, resident_bytes()));
+}
+
+/** @return the bound on client connections: three quarters of the descriptors. */
+std::size_t max_client_connections(host_settings const& settings)
+{
+    rlimit limit{};
+    auto descriptors = static_cast<std::uint64_t>(settings.max_descriptors);
+    if (descriptors == 0) {
+        ::getrlimit(RLIMIT_NOFILE, &limit);
+        descriptors = limit.rlim_cur - std::min<std::uint64_t>(limit.rlim_cur, file_descriptors);
+    }
+    return std::max<std::uint64_t>(1, descriptors / 4 * 3);
 }
 
 exchange_limits answer_limits(std::shared_ptr<memory_budget> memory)
@@ -128,7 +158,7 @@
                        std::function<store_calls(store_hooks)> const& connect_store)
     : loop_(loop), timers_(timers), settings_(std::move(settings)), wire_(std::move(wire)),
       reload_settings_(std::move(reload_settings)),
-      answers_(std::make_shared<memory_budget>(answer_memory(settings_))),
+      answers_(std::make_shared<memory_budget>(buffer_memory(settings_))),
       forwarder_(loop, timers, wire_.names, make_traffic_settings(settings_),
                  answer_limits(answers_), log_, monitor_),
       clients_(loop, timers,
@@ -171,6 +201,9 @@
 {
     timers_.on_delay([this](microseconds delay) { report_delay(delay); });
     forwarder_.attach(clients_, relays_);
+    clients_.share_memory(answers_);
+    relays_.share_memory(answers_);
+    clients_.set_max_connections(max_client_connections(settings_));
     forwarder_.on_links_changed([this](bool) {
         // Not at once, as the reducer's effects are still being carried out.
         timers_.once(read_clocks().mono, [this] { report_peers(read_clocks().mono); });
@@ -688,6 +721,9 @@
     out += "# TYPE cove_unsent_messages counter\ncove_unsent_messages " +
            std::to_string(transport_.unsent_messages()) + "\n";
     gauge("answer_bytes", answers_->held());
+    out += "# TYPE cove_client_connections_over_bound counter\n"
+           "cove_client_connections_over_bound " +
+           std::to_string(clients_.connections_over_bound()) + "\n";
     out += "# TYPE cove_answers_reclaimed counter\ncove_answers_reclaimed " +
            std::to_string(answers_->reclaims()) + "\n";
     gauge("log_lines_left_out", log_.dropped());
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -118,7 +118,7 @@
     loop_monitor monitor_;
     mono_time work_noted_ = read_clocks().mono; ///< when monitor_'s longest work was last taken
     microseconds cpu_noted_{};                  ///< processor time of this process until then
-    std::shared_ptr<memory_budget> answers_;    ///< of targets, and of hosts that relay
+    std::shared_ptr<memory_budget> answers_;    ///< bounds all buffers
     request_forwarder forwarder_;
     http_server clients_;
     http_server readiness_;
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -253,6 +253,8 @@
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
+    open.body = std::make_shared<std::string>(std::move(request.body()));
+    request.body().clear();
     open_.emplace(event.id, std::move(open));
     feed(event);
 }
@@ -307,6 +309,19 @@
     };
 }
 
+/** @return the request to send, whose body is sent apart from it. */
+http_request request_forwarder::header_of(open_request const& open, milliseconds time_left,
+                                          std::string const& deadline_name)
+{
+    http_request out = open.message;
+    out.set(deadline_name, std::to_string(time_left.count()));
+    out.prepare_payload();
+    if (!open.body->empty()) {
+        out.content_length(open.body->size());
+    }
+    return out;
+}
+
 void request_forwarder::execute(send_attempt const& effect)
 {
     auto const found = open_.find(effect.id);
@@ -314,10 +329,8 @@
         return;
     }
     open_request& open = found->second;
-    http_request message = open.message;
-    message.set(names_.deadline, std::to_string(effect.time_left.count()));
+    http_request message = header_of(open, effect.time_left, names_.deadline);
     message.set(names_.expected_target, effect.target.value);
-    message.prepare_payload();
     open.pool = &pool_;
     open.peer = effect.target;
     open.connection =
@@ -339,7 +352,7 @@
         [this, effect, fresh](exchange_result result) {
             on_exchange_end(effect.id, effect, fresh, std::move(result));
         },
-        client_connected(effect.id));
+        client_connected(effect.id), open.body);
 }
 
 /** Gives up connecting, so that the request goes elsewhere while there is time. */
@@ -361,10 +374,8 @@
     }
     ++relayed_requests_;
     open_request& open = found->second;
-    http_request message = open.message;
-    message.set(names_.deadline, std::to_string(effect.time_left.count()));
+    http_request message = header_of(open, effect.time_left, names_.deadline);
     message.set(client_field, open.client);
-    message.prepare_payload();
     open.pool = &relay_pool_;
     open.peer = target_id(effect.address);
     open.connection = relay_pool_.acquire(open.peer, effect.address, effect.idempotent, "");
@@ -380,7 +391,7 @@
         [this, effect](exchange_result result) {
             on_relay_end(effect.id, effect, std::move(result));
         },
-        client_connected(effect.id));
+        client_connected(effect.id), open.body);
 }
 
 void request_forwarder::on_relay_end(request_id id, relay_request const& relay,
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -102,10 +102,11 @@
 
 private:
     struct open_request {
-        http_request message;
-        http_server* server = nullptr; ///< through which it came
-        call_id call;                  ///< of that server
-        std::string client;            ///< IP
+        http_request message;              ///< without its body
+        std::shared_ptr<std::string> body; ///< shared with the connection that sends it
+        http_server* server = nullptr;     ///< through which it came
+        call_id call;                      ///< of that server
+        std::string client;                ///< IP
         std::string attempt_id;
         request_fingerprint fingerprint;
         std::shared_ptr<route_config const> route;
@@ -136,6 +137,8 @@
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
     [[nodiscard]] exchange_connection::condition client_connected(request_id id) const;
+    [[nodiscard]] static http_request header_of(open_request const& open, milliseconds time_left,
+                                                std::string const& deadline_name);
     void limit_connect_time(target_connection_pool::connection const& connection);
     void on_relay_end(request_id id, relay_request const& relay, exchange_result result);
     void on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -59,9 +59,11 @@
 }
 
 void exchange_connection::exchange(http_request request, response_matcher match, handler done,
-                                   condition wanted)
+                                   condition wanted, std::shared_ptr<std::string> body)
 {
-    request_ = std::move(request);
+    body_ = body ? std::move(body) : std::make_shared<std::string>(std::move(request.body()));
+    request_.base() = std::move(request.base());
+    request_.body() = {body_->data(), body_->size()};
     match_ = std::move(match);
     done_ = std::move(done);
     wanted_ = std::move(wanted);
@@ -219,6 +221,12 @@
     }
     parse_keep_alive(response);
     reusable_ = keep_alive && sent_ && buffer_.size() == 0;
+    if (reusable_) { // an idle connection holds no body and no large buffer
+        parser_.reset();
+        body_.reset();
+        request_.body() = {};
+        buffer_.shrink_to_fit();
+    }
     finish({exchange_outcome::answered, std::move(response), {}});
 }
 
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -77,9 +78,11 @@
      * @param done called once, unless close() is called first.
      * @param wanted asked right before the request is written; if it returns false, the outcome is
      * withdrawn and the connection stays fit for use. If empty, the request is wanted.
+     * @param body sent instead of that of @p request, whose Content-Length has to fit; it is
+     * shared, so that a body that may be sent again is held once. If empty, that of @p request.
      */
     void exchange(http_request request, response_matcher match, handler done,
-                  condition wanted = nullptr);
+                  condition wanted = nullptr, std::shared_ptr<std::string> body = nullptr);
 
     /** Establishes the connection without a request. @param done as in exchange(). */
     void connect(connect_handler done);
@@ -134,7 +137,8 @@
     mono_time last_received_{};
     std::optional<memory_budget::holder> held_; ///< account of the response under way
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
-    http_request request_;
+    std::shared_ptr<std::string> body_; ///< of the request
+    boost::beast::http::request<boost::beast::http::span_body<char>> request_;
     response_matcher match_;
     handler done_;
     condition wanted_;
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -1,16 +1,24 @@
 #include "http/memory_budget.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cove {
 
+namespace {
+
+/// Holders of no more are spared while others exist: ordinary requests are that small.
+constexpr std::uint64_t spared_bytes = 16 * 1024;
+
+} // namespace
+
 memory_budget::holder memory_budget::join(std::function<void()> give_back)
 {
-    accounts_[++last_holder_] = {0, std::move(give_back)};
+    accounts_[++last_holder_] = {0, holding::response, std::move(give_back)};
     return last_holder_;
 }
 
-void memory_budget::hold(holder who, std::uint64_t bytes)
+void memory_budget::hold(holder who, std::uint64_t bytes, holding what)
 {
     auto const found = accounts_.find(who);
     if (found == accounts_.end()) {
@@ -18,6 +26,7 @@
     }
     held_ += bytes - found->second.bytes;
     found->second.bytes = bytes;
+    found->second.what = what;
     while (held_ > limit_) {
         reclaim_from_largest();
     }
@@ -34,9 +43,12 @@
 
 void memory_budget::reclaim_from_largest()
 {
+    auto const rank = [](account const& one) {
+        return std::tuple(one.bytes > spared_bytes, -static_cast<int>(one.what), one.bytes);
+    };
     auto const largest =
-        std::max_element(accounts_.begin(), accounts_.end(), [](auto const& a, auto const& b) {
-            return a.second.bytes < b.second.bytes;
+        std::max_element(accounts_.begin(), accounts_.end(), [&rank](auto const& a, auto const& b) {
+            return rank(a.second) < rank(b.second);
         });
     auto const give_back = std::move(largest->second.give_back);
     leave(largest->first);
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -1,5 +1,5 @@
 #pragma once
-/** @file Bounds the memory that answers under way take together. */
+/** @file Bounds the memory that is buffered for clients, targets and other hosts together. */
 
 #include <cstdint>
 #include <functional>
@@ -7,9 +7,16 @@
 
 namespace cove {
 
+/** What a holder buffers, in the order in which holders have to release their bytes. */
+enum class holding {
+    incomplete_request,
+    request, ///< queued or running
+    response,
+};
+
 /**
  * Counts the bytes that several holders keep in memory. When the sum exceeds the limit, the holder
- * of the most has to give its bytes back, so that ordinary answers are not affected by a few that
+ * of the most has to give its bytes back, so that ordinary requests are not affected by a few that
  * do not end.
  */
 class memory_budget {
@@ -26,8 +33,11 @@
      */
     holder join(std::function<void()> give_back);
 
-    /** Sets the bytes of a holder. May call give_back of any holder, also of this one. */
-    void hold(holder who, std::uint64_t bytes);
+    /**
+     * Sets the bytes of a holder. May call give_back of any holder, also of this one. Holders of
+     * few bytes are spared while there are others.
+     */
+    void hold(holder who, std::uint64_t bytes, holding what = holding::response);
 
     /** Removes a holder with its bytes; one that has already been removed is ignored. */
     void leave(holder who);
@@ -41,6 +51,7 @@
 private:
     struct account {
         std::uint64_t bytes = 0;
+        holding what = holding::response;
         std::function<void()> give_back;
     };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -97,6 +97,10 @@
             on_accept_error(error);
             return;
         }
+        if (!make_room()) {
+            accept();
+            return; // closes the new connection
+        }
         auto connection = std::make_shared<server_connection>(*this, std::move(socket));
         connections_[connection.get()] = connection;
         connection->start();
@@ -104,6 +108,29 @@
     });
 }
 
+/** At the bound, closes the longest idle connection. @return whether one more may be open. */
+bool http_server::make_room()
+{
+    if (connections_.size() < max_connections_) {
+        return true;
+    }
+    ++over_bound_;
+    server_connection* longest = nullptr;
+    mono_time first = mono_time::max();
+    for (auto const& [key, connection] : connections_) {
+        auto const until = connection->idle_until();
+        if (until && *until < first) {
+            longest = key;
+            first = *until;
+        }
+    }
+    if (longest == nullptr) {
+        return false;
+    }
+    longest->close();
+    return true;
+}
+
 void http_server::on_accept_error(error_code error)
 {
     ++accept_errors_;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -6,10 +6,12 @@
 #include "core/time_type.h"
 #include "http/http_type.h"
 #include "http/loop_timers.h"
+#include "http/memory_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -59,6 +61,18 @@
     /** Changes the limits: sizes from a connection's next request, timeouts from its next phase. */
     void set_limits(server_limits const& limits) { limits_ = limits; }
 
+    /** Counts what is buffered for clients towards @p memory; called before start(). */
+    void share_memory(std::shared_ptr<memory_budget> memory) { memory_ = std::move(memory); }
+
+    /**
+     * Bounds the open connections; at the bound the longest idle one is closed for a new one, and
+     * without an idle one the new one is refused.
+     */
+    void set_max_connections(std::size_t count) { max_connections_ = count; }
+
+    /** @return how many connections were refused or closed at the bound so far. */
+    [[nodiscard]] std::uint64_t connections_over_bound() const { return over_bound_; }
+
     /** Closes each connection after its next response, from now on. */
     void close_after_responses() { closing_ = true; }
 
@@ -89,6 +103,7 @@
     void accept();
     void on_accept_error(boost::system::error_code error);
     void close_ended();
+    bool make_room();
 
     boost::asio::io_context& loop_;
     loop_timers& timers_;
@@ -101,6 +116,9 @@
     std::uint64_t accept_errors_ = 0;
     loop_timers::subscription end_check_ = 0;
     bool closing_ = false;
+    std::shared_ptr<memory_budget> memory_;
+    std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
+    std::uint64_t over_bound_ = 0; ///< connections refused or closed at the bound
 };
 
 } // namespace cove
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/server_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -18,6 +19,7 @@
 
 constexpr milliseconds write_timeout{30'000};    ///< a slower reader only occupies memory
 constexpr milliseconds linger_timeout{1000};     ///< time for the client to read the response
+constexpr std::size_t linger_bytes = 64 * 1024;  ///< read and discarded at most
 constexpr std::size_t linger_chunk_bytes = 4096; ///< read and discarded at a time
 constexpr milliseconds no_timeout = milliseconds::max();
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -33,7 +35,7 @@
     return milliseconds(info.tcpi_last_data_recv);
 }
 
-bool expects_continue(http_request const& request)
+bool expects_continue(http::fields const& request)
 {
     return boost::beast::iequals(request[http::field::expect], "100-continue");
 }
@@ -67,13 +69,15 @@
 
 void server_connection::wait_for_request()
 {
-    parser_.emplace();
-    parser_->header_limit(server_.limits_.header_bytes);
-    parser_->body_limit(server_.limits_.body_bytes);
+    release_memory();
+    response_ = {};
+    reader_.emplace(request_limits{server_.limits_.header_bytes, server_.limits_.body_bytes});
+    buffer_.max_size(std::max(reader_->buffer_limit(), buffer_.size()));
     if (buffer_.size() > 0) {
         read_header();
         return;
     }
+    buffer_.shrink_to_fit();
     enter_phase(phase::idle, server_.limits_.idle_timeout);
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         if (self->closed_) {
@@ -90,7 +94,7 @@
 void server_connection::read_header()
 {
     enter_phase(phase::header, server_.limits_.header_timeout);
-    http::async_read_header(socket_, buffer_, *parser_,
+    http::async_read_header(socket_, buffer_, reader_->parse(),
                             [self = shared_from_this()](error_code error, std::size_t) {
                                 if (!self->closed_ && !self->refused_) {
                                     self->on_header(error);
@@ -117,16 +121,18 @@
         close();
         return;
     }
-    if (parser_->get().count(http::field::transfer_encoding) > 0 && !parser_->chunked()) {
+    if (reader_->parse().get().count(http::field::transfer_encoding) > 0 &&
+        !reader_->parse().chunked()) {
         reject(http::status::not_implemented);
         return;
     }
-    bool const has_content = parser_->chunked() || parser_->content_length().value_or(0) > 0;
-    if (parser_->get().method() == http::verb::trace && has_content) {
+    bool const has_content =
+        reader_->parse().chunked() || reader_->parse().content_length().value_or(0) > 0;
+    if (reader_->parse().get().method() == http::verb::trace && has_content) {
         reject(http::status::bad_request); // RFC 9110, 9.3.8
         return;
     }
-    if (expects_continue(parser_->get()) && !parser_->is_done()) {
+    if (expects_continue(reader_->parse().get()) && !reader_->parse().is_done()) {
         boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
                                  [self = shared_from_this()](error_code, std::size_t) {
                                      if (!self->closed_ && !self->refused_) {
@@ -140,26 +146,76 @@
 
 void server_connection::read_body()
 {
-    if (parser_->is_done()) {
+    if (phase_ != phase::body) {
+        reader_->start_body();
+        enter_phase(phase::body, server_.limits_.body_timeout);
+    }
+    if (reader_->parse().is_done()) {
         dispatch_request();
         return;
     }
-    enter_phase(phase::body, server_.limits_.body_timeout);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         if (self->closed_ || self->refused_) {
-                             return;
-                         }
-                         if (error == http::error::body_limit) {
-                             self->reject(http::status::payload_too_large);
-                         }
-                         else if (error) {
-                             self->close();
-                         }
-                         else {
-                             self->dispatch_request();
-                         }
-                     });
+    http::async_read_some(socket_, buffer_, reader_->parse(),
+                          [self = shared_from_this()](error_code error, std::size_t bytes) {
+                              if (!self->closed_ && !self->refused_) {
+                                  self->on_body(error, bytes);
+                              }
+                          });
+}
+
+void server_connection::on_body(error_code error, std::size_t bytes)
+{
+    bool const too_long = error == http::error::body_limit ||
+                          error == http::error::buffer_overflow ||
+                          error == http::error::header_limit || (!error && !reader_->count(bytes));
+    if (too_long) {
+        reader_->discard();
+        reject(http::status::payload_too_large);
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    hold_memory(reader_->held() + buffer_.capacity(), holding::incomplete_request);
+    if (!closed_ && !refused_) {
+        read_body();
+    }
+}
+
+/** Counts what this connection buffers; may release the memory of any connection, also of this. */
+void server_connection::hold_memory(std::uint64_t bytes, holding what)
+{
+    if (!server_.memory_) {
+        return;
+    }
+    if (!account_) {
+        account_ = server_.memory_->join([weak = weak_from_this()] {
+            if (auto const self = weak.lock()) {
+                self->give_memory_back();
+            }
+        });
+    }
+    server_.memory_->hold(*account_, bytes, what);
+}
+
+void server_connection::release_memory()
+{
+    if (account_) {
+        server_.memory_->leave(*account_);
+        account_.reset();
+    }
+}
+
+/** Ends the request: 503 while it has not been passed on, else the connection closes. */
+void server_connection::give_memory_back()
+{
+    account_.reset();
+    if (phase_ == phase::body) {
+        reader_->discard();
+        refuse_unfinished();
+        return;
+    }
+    close();
 }
 
 void server_connection::dispatch_request()
@@ -174,7 +230,12 @@
         return;
     }
     enter_phase(phase::call, no_timeout);
-    http_request request = parser_->release();
+    http_request request = reader_->release();
+    reader_.reset();
+    hold_memory(request.body().size() + buffer_.capacity(), holding::request);
+    if (closed_) {
+        return;
+    }
     keep_alive_ = request.keep_alive();
     is_head_ = request.method() == http::verb::head;
     read_ahead_ = false;
@@ -228,6 +289,10 @@
     if (!has_no_body && !is_head_) {
         response_.content_length(response_.body().size());
     }
+    hold_memory(response_.body().size() + buffer_.capacity(), holding::response);
+    if (closed_) {
+        return;
+    }
     http::async_write(socket_, response_,
                       [self = shared_from_this(), keep_alive](error_code error, std::size_t) {
                           if (!self->closed_) {
@@ -256,13 +321,17 @@
 void server_connection::linger()
 {
     enter_phase(phase::lingering, linger_timeout);
+    release_memory();
+    response_ = {};
     error_code ignored; // the read below fails if the connection is gone
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     buffer_.consume(buffer_.size());
     auto discard = [self = shared_from_this()](auto&& again) -> void {
         self->socket_.async_read_some(self->buffer_.prepare(linger_chunk_bytes),
-                                      [self, again](error_code failed, std::size_t) {
-                                          if (failed || self->closed_) {
+                                      [self, again](error_code failed, std::size_t size) {
+                                          self->discarded_ += size;
+                                          if (failed || self->closed_ ||
+                                              self->discarded_ > linger_bytes) {
                                               self->close();
                                               return;
                                           }
@@ -297,6 +366,11 @@
     }
 }
 
+std::optional<mono_time> server_connection::idle_until() const
+{
+    return phase_ == phase::idle ? std::optional(deadline_) : std::nullopt;
+}
+
 void server_connection::close()
 {
     if (closed_) {
@@ -304,6 +378,7 @@
     }
     closed_ = true;
     auto const self = shared_from_this();
+    release_memory();
     error_code ignored; // a socket that the client has reset may fail to close
     socket_.close(ignored);
     server_.connections_.erase(this);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,10 +1,9 @@
 #pragma once
 /** @file One client connection of an http_server. */
 
+#include "http/request_reader.h"
 #include "http/server.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <optional>
 
 namespace cove {
@@ -35,6 +34,9 @@
     /** Closes the connection if it waits for the first byte of a request. */
     void close_if_idle();
 
+    /** @return until when it may wait for a request; nullopt unless it does. */
+    [[nodiscard]] std::optional<mono_time> idle_until() const;
+
     /** Closes the connection; reports a call in progress to the client_disconnected hook. */
     void close();
 
@@ -45,6 +47,10 @@
     void wait_for_request();
     void read_header();
     void read_body();
+    void on_body(boost::system::error_code error, std::size_t bytes);
+    void hold_memory(std::uint64_t bytes, holding what);
+    void release_memory();
+    void give_memory_back();
     void on_header(boost::system::error_code error);
     void dispatch_request();
     void watch_for_disconnect();
@@ -56,7 +62,9 @@
     http_server& server_;
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+    std::optional<request_reader> reader_;
+    std::optional<memory_budget::holder> account_; ///< of the request, then of the response
+    std::size_t discarded_ = 0;                    ///< bytes read while lingering
     http_response response_;
     std::optional<call_id> call_;
     phase phase_ = phase::idle;
