--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/address.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -171,21 +172,32 @@
 /** Counts the bytes of the response; a response that takes too much ends as broken. */
 void exchange_connection::account_for_received()
 {
-    if (!limits_.memory || received_ <= uncounted_bytes) {
+    if (!limits_.memory || gives_up_ || received_ <= uncounted_bytes) {
         return;
     }
     if (!held_) {
         held_ = limits_.memory->join([weak = weak_from_this()] {
             if (auto const self = weak.lock()) {
                 self->held_.reset();
-                self->finish(
-                    {exchange_outcome::broken, {}, "the responses under way take too much memory"});
+                self->give_up_response();
             }
         });
     }
     limits_.memory->hold(*held_, received_);
 }
 
+/** In the next turn of the loop, as the owner may be at work on another request. */
+void exchange_connection::give_up_response()
+{
+    gives_up_ = true;
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->gives_up_) {
+            self->finish(
+                {exchange_outcome::broken, {}, "the responses under way take too much memory"});
+        }
+    });
+}
+
 void exchange_connection::release_memory()
 {
     if (held_) {
@@ -249,6 +261,7 @@
 void exchange_connection::finish(exchange_result result)
 {
     release_memory();
+    gives_up_ = false;
     auto const done = std::move(done_);
     done_ = nullptr;
     match_ = nullptr;
@@ -266,6 +279,7 @@
 void exchange_connection::close()
 {
     closed_ = true;
+    gives_up_ = false;
     release_memory();
     done_ = nullptr;
     match_ = nullptr;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -125,6 +125,7 @@
     void read_some();
     void on_response(boost::system::error_code error);
     void account_for_received();
+    void give_up_response();
     void release_memory();
     void finish(exchange_result result);
     void parse_keep_alive(http_response const& response);
@@ -142,7 +143,8 @@
     response_matcher match_;
     handler done_;
     condition wanted_;
-    bool sending_ = false; ///< a request is in progress and was at least begun to be written
+    bool gives_up_ = false; ///< the response ends as broken, as its memory is needed
+    bool sending_ = false;  ///< a request is in progress and was at least begun to be written
     bool connected_ = false;
     bool sent_ = false;     ///< the request was written completely
     bool reusable_ = false; ///< the last response leaves the connection fit for another request
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -45,6 +45,9 @@
     /** @return bytes of all holders. */
     [[nodiscard]] std::uint64_t held() const { return held_; }
 
+    /** @return whether little is left, so that no more should be taken in than necessary. */
+    [[nodiscard]] bool nearly_full() const { return held_ > limit_ - limit_ / 4; }
+
     /** @return how often a holder had to give its bytes back. */
     [[nodiscard]] std::uint64_t reclaims() const { return reclaims_; }
 
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -20,8 +20,9 @@
     return limits_.header_bytes + read_ahead_bytes;
 }
 
-void request_reader::start_body()
+void request_reader::start_body(std::size_t bytes)
 {
+    header_bytes_ = bytes;
     if (parser_.chunked()) {
         header_.base() = parser_.get().base();
     }
@@ -30,7 +31,7 @@
 bool request_reader::count(std::size_t bytes)
 {
     received_ += bytes;
-    std::uint64_t const body = held();
+    std::uint64_t const body = parser_.get().body().size();
     return !parser_.chunked() || received_ <= body + limits_.header_bytes + body / framing_divisor;
 }
 
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -28,8 +28,8 @@
     /** @return the largest size of the buffer that is parsed, which bounds the trailers as well. */
     [[nodiscard]] std::size_t buffer_limit() const;
 
-    /** Called once the header is complete, before the body is read. */
-    void start_body();
+    /** Called once the header of @p bytes is complete, before the body is read. */
+    void start_body(std::size_t bytes);
 
     /**
      * Counts @p bytes of the body and its framing.
@@ -38,8 +38,8 @@
      */
     [[nodiscard]] bool count(std::size_t bytes);
 
-    /** @return bytes of the body that are held. */
-    [[nodiscard]] std::size_t held() const { return parser_.get().body().size(); }
+    /** @return bytes of the header and body that are held. */
+    [[nodiscard]] std::size_t held() const { return header_bytes_ + parser_.get().body().size(); }
 
     /** Discards the body received so far; the request is not used any more. */
     void discard() { parser_.get().body().clear(); }
@@ -50,7 +50,8 @@
 private:
     request_limits limits_;
     parser parser_;
-    http_request header_;        ///< copy of a chunked request's, as the parser adds trailers to it
+    http_request header_; ///< copy of a chunked request's, as the parser adds trailers to it
+    std::size_t header_bytes_ = 0;
     std::uint64_t received_ = 0; ///< since the header
 };
 
