Count headers that arrive towards the byte budget

How much of a header has arrived is known only at its end, so clients that never end one were not counted until then. A connection now counts its whole buffer limit while it reads a header.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -76,6 +76,11 @@
     return !closed_ && !gives_up_ && phase_ != phase::ended && phase_ != phase::lingering;
 }
 
+bool server_connection::request_arrives() const
+{
+    return phase_ == phase::header || phase_ == phase::held || phase_ == phase::body;
+}
+
 /** Reads the next request, or waits for it, if another may be read now. */
 void server_connection::read_next()
 {
@@ -130,9 +135,13 @@
 {
     reader_.emplace(request_limits{server_.limits_.header_bytes, server_.limits_.body_bytes});
     buffer_.max_size(std::max(reader_->buffer_limit(), buffer_.size()));
+    enter_phase(phase::header, server_.limits_.header_timeout);
+    count_memory();
+    if (!input_open()) {
+        return;
+    }
     read_ahead_ = false;
     reading_ = true;
-    enter_phase(phase::header, server_.limits_.header_timeout);
     http::async_read_header(socket_, buffer_, reader_->parse(),
                             [self = shared_from_this()](error_code error, std::size_t bytes) {
                                 if (self->read_ended()) {
@@ -260,11 +269,15 @@
             }
         });
     }
-    std::size_t const reading = reader_ ? reader_->held() : 0;
-    holding const stage = phase_ == phase::body    ? holding::incomplete_request
+    holding const stage = request_arrives()        ? holding::incomplete_request
                           : pipeline_.unanswered() ? holding::request
                                                    : holding::response;
-    server_.memory_->hold(*account_, reading + pipeline_.held() + buffer_.capacity(), stage);
+    std::size_t const reading = reader_ ? reader_->held() : 0;
+    // How much of a header has arrived is known only at its end.
+    std::size_t const buffered = phase_ == phase::header
+                                     ? std::max(buffer_.capacity(), reader_->buffer_limit())
+                                     : buffer_.capacity();
+    server_.memory_->hold(*account_, reading + pipeline_.held() + buffered, stage);
 }
 
 void server_connection::release_memory()
@@ -282,7 +295,7 @@
 void server_connection::give_memory_back()
 {
     account_.reset();
-    if (phase_ != phase::body) {
+    if (!request_arrives()) {
         gives_up_ = true;
         boost::asio::post(server_.loop_, [self = shared_from_this()] { self->close(); });
         return;
@@ -476,7 +489,7 @@
 
 void server_connection::refuse_unfinished()
 {
-    if (phase_ == phase::header || phase_ == phase::held || phase_ == phase::body) {
+    if (request_arrives()) {
         reject(http::status::service_unavailable);
     }
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -47,6 +47,7 @@
 
     void enter_phase(phase next, milliseconds timeout);
     [[nodiscard]] bool input_open() const;
+    [[nodiscard]] bool request_arrives() const;
     void read_next();
     void watch();
     void on_readable(boost::system::error_code error);
