--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Holders of no more are spared while others exist: ordinary requests are that small.
-constexpr std::uint64_t spared_bytes = 16 * 1024;
+constexpr std::uint64_t spared_bytes = 16'384;
 
 } // namespace
 
--- a/src/http/request_body.cpp
+++ b/src/http/request_body.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Large enough that the C library returns a block to the system when it is freed.
-constexpr std::size_t block_bytes = 256 * 1024;
+constexpr std::size_t block_bytes = 262'144;
 
 } // namespace
 
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr std::uint64_t framing_divisor = 8;        ///< framing is an eighth of a body at most
-constexpr std::size_t read_ahead_bytes = 16 * 1024; ///< beyond the header
+constexpr std::uint64_t framing_divisor = 8;     ///< framing is an eighth of a body at most
+constexpr std::size_t read_ahead_bytes = 16'384; ///< beyond the header
 
 } // namespace
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -20,7 +20,7 @@
 
 constexpr milliseconds write_timeout{30'000};    ///< a slower reader only occupies memory
 constexpr milliseconds linger_timeout{1000};     ///< time for the client to read the response
-constexpr std::size_t linger_bytes = 64 * 1024;  ///< read and discarded at most
+constexpr std::size_t linger_bytes = 65'536;     ///< read and discarded at most
 constexpr std::size_t linger_chunk_bytes = 4096; ///< read and discarded at a time
 constexpr milliseconds no_timeout = milliseconds::max();
 /// Bounds what one connection can make the host run and hold at once.
