--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -316,6 +316,8 @@
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
+    open.body = std::make_shared<std::string>(std::move(request.body()));
+    request.body().clear();
     open_.emplace(event.id, std::move(open));
     feed(event);
 }
@@ -426,6 +428,19 @@
     }
 }
 
+/** @return the request to send, whose body is sent apart from it. */
+http_request request_forwarder::header_of(open_request const& open, milliseconds time_left,
+                                          std::string const& deadline_name)
+{
+    http_request out = open.message;
+    out.set(deadline_name, std::to_string(time_left.count()));
+    out.prepare_payload();
+    if (!open.body->empty()) {
+        out.content_length(open.body->size());
+    }
+    return out;
+}
+
 void request_forwarder::execute(send_attempt const& effect)
 {
     auto const found = open_.find(effect.id);
@@ -436,11 +451,9 @@
     if (stop_unless_admitted(effect.id, open)) {
         return;
     }
-    http_request message = open.message;
+    http_request message = header_of(open, effect.time_left, names_.deadline);
     admission_.prepare_for_target(message, open.credentials);
-    message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(names_.expected_target, effect.target.value);
-    message.prepare_payload();
     ++open.sends;
     open.pool = &pool_;
     open.peer = effect.target;
@@ -463,7 +476,7 @@
         [this, effect, fresh](exchange_result result) {
             on_exchange_end(effect.id, effect, fresh, std::move(result));
         },
-        still_wanted(effect.id));
+        still_wanted(effect.id), open.body);
 }
 
 /** Gives up connecting, so that the request goes elsewhere while there is time. */
@@ -488,12 +501,10 @@
         return;
     }
     ++relayed_requests_;
-    http_request message = open.message;
+    http_request message = header_of(open, effect.time_left, names_.deadline);
     admission_.prepare_for_relay(message, open.credentials);
-    message.set(names_.deadline, std::to_string(effect.time_left.count()));
     message.set(client_field, open.client);
     message.set(attempts_field, std::to_string(effect.attempts_left));
-    message.prepare_payload();
     ++open.sends;
     open.pool = &relay_pool_;
     open.peer = target_id(effect.address);
@@ -511,7 +522,7 @@
         [this, effect](exchange_result result) {
             on_relay_end(effect.id, effect, std::move(result));
         },
-        still_wanted(effect.id));
+        still_wanted(effect.id), open.body);
 }
 
 void request_forwarder::on_relay_end(request_id id, relay_request const& relay,
--- a/src/http/call_pipeline.cpp
+++ b/src/http/call_pipeline.cpp
@@ -18,6 +18,7 @@
     added.concurrent = call.concurrent;
     added.to_head = call.request.method() == boost::beast::http::verb::head;
     added.closes = !call.request.keep_alive();
+    added.bytes = call.bytes;
     added.request = std::move(call.request);
     ended_ = ended_ || added.closes;
     entries_.push_back(std::move(added));
@@ -43,7 +44,7 @@
         return std::nullopt;
     }
     next->at = state::running;
-    pipelined_call started{next->id, std::move(*next->request), next->concurrent};
+    pipelined_call started{next->id, std::move(*next->request), next->concurrent, next->bytes};
     next->request.reset();
     return started;
 }
@@ -55,6 +56,7 @@
     });
     if (found != entries_.end()) {
         found->at = state::answered;
+        found->bytes = response.body().size();
         found->response = std::move(response);
     }
 }
@@ -94,6 +96,15 @@
     return running;
 }
 
+std::size_t call_pipeline::held() const
+{
+    std::size_t sum = 0;
+    for (entry const& each : entries_) {
+        sum += each.bytes;
+    }
+    return sum;
+}
+
 bool call_pipeline::unanswered() const
 {
     return std::any_of(entries_.begin(), entries_.end(), [](entry const& each) {
--- a/src/http/call_pipeline.h
+++ b/src/http/call_pipeline.h
@@ -16,6 +16,7 @@
     call_id id;
     http_request request;
     bool concurrent = false; ///< may run beside others of its connection
+    std::size_t bytes = 0;   ///< that it takes in memory until it is answered
 };
 
 /** A response whose turn has come. */
@@ -71,6 +72,9 @@
     /** @return whether nothing is owed to the client. */
     [[nodiscard]] bool empty() const { return entries_.empty(); }
 
+    /** @return bytes of the requests without response and of the responses that are not sent. */
+    [[nodiscard]] std::size_t held() const;
+
     /** @return whether a request has no response yet. */
     [[nodiscard]] bool unanswered() const;
 
@@ -82,6 +86,7 @@
         state at = state::waiting;
         bool concurrent = false;
         bool to_head = false;
+        std::size_t bytes = 0;               ///< of the request, then of the response
         bool closes = false;                 ///< the client closes after the response
         std::optional<http_request> request; ///< while waiting
         std::optional<http_response> response;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/address.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -71,9 +72,11 @@
 }
 
 void exchange_connection::exchange(http_request request, response_matcher match, handler done,
-                                   condition wanted)
+                                   condition wanted, std::shared_ptr<std::string> body)
 {
-    request_ = std::move(request);
+    body_ = body ? std::move(body) : std::make_shared<std::string>(std::move(request.body()));
+    request_.base() = std::move(request.base());
+    request_.body() = {body_->data(), body_->size()};
     match_ = std::move(match);
     done_ = std::move(done);
     wanted_ = std::move(wanted);
@@ -185,21 +188,32 @@
 /** Counts the bytes of the response; a response that takes too much ends as broken. */
 void exchange_connection::account_for_received()
 {
-    if (!limits_.memory || received_ <= uncounted_bytes) {
+    if (!limits_.memory || gives_up_ || received_ <= uncounted_bytes) {
         return;
     }
     if (!held_) {
         held_ = limits_.memory->join([weak = weak_from_this()] {
             if (auto const self = weak.lock()) {
                 self->held_.reset();
-                self->finish(
-                    {exchange_outcome::broken, {}, "the responses under way take too much memory"});
+                self->give_up_response();
             }
         });
     }
     limits_.memory->hold(*held_, received_);
 }
 
+/** In the next turn of the loop, as the owner may be at work on another request. */
+void exchange_connection::give_up_response()
+{
+    gives_up_ = true;
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->gives_up_) {
+            self->finish(
+                {exchange_outcome::broken, {}, "the responses under way take too much memory"});
+        }
+    });
+}
+
 void exchange_connection::release_memory()
 {
     if (held_) {
@@ -235,6 +249,12 @@
     }
     parse_keep_alive(response);
     reusable_ = keep_alive && sent_ && buffer_.size() == 0;
+    if (reusable_) { // an idle connection holds no body and no large buffer
+        parser_.reset();
+        body_.reset();
+        request_.body() = {};
+        buffer_.shrink_to_fit();
+    }
     finish({exchange_outcome::answered, std::move(response), {}});
 }
 
@@ -257,6 +277,7 @@
 void exchange_connection::finish(exchange_result result)
 {
     release_memory();
+    gives_up_ = false;
     auto const done = std::move(done_);
     done_ = nullptr;
     match_ = nullptr;
@@ -274,6 +295,7 @@
 void exchange_connection::close()
 {
     closed_ = true;
+    gives_up_ = false;
     release_memory();
     done_ = nullptr;
     match_ = nullptr;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,6 +1,8 @@
 #include "http/server_connection.h"
 
+#include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -18,6 +20,7 @@
 
 constexpr milliseconds write_timeout{30'000};    ///< a slower reader only occupies memory
 constexpr milliseconds linger_timeout{1000};     ///< time for the client to read the response
+constexpr std::size_t linger_bytes = 65'536;     ///< read and discarded at most
 constexpr std::size_t linger_chunk_bytes = 4096; ///< read and discarded at a time
 constexpr milliseconds no_timeout = milliseconds::max();
 /// Bounds what one connection can make the host run and hold at once.
@@ -35,7 +38,7 @@
     return milliseconds(info.tcpi_last_data_recv);
 }
 
-bool expects_continue(http_request const& request)
+bool expects_continue(http::fields const& request)
 {
     return boost::beast::iequals(request[http::field::expect], "100-continue");
 }
@@ -70,15 +73,25 @@
 
 bool server_connection::input_open() const
 {
-    return !closed_ && phase_ != phase::ended && phase_ != phase::lingering;
+    return !closed_ && !gives_up_ && phase_ != phase::ended && phase_ != phase::lingering;
+}
+
+bool server_connection::request_arrives() const
+{
+    return phase_ == phase::header || phase_ == phase::held || phase_ == phase::body;
 }
 
 /** Reads the next request, or waits for it, if another may be read now. */
 void server_connection::read_next()
 {
     enter_phase(phase::between, pipeline_.empty() ? server_.limits_.idle_timeout : no_timeout);
-    bool const stopping = server_.closing_ && !pipeline_.empty();
-    if (pipeline_.accepts() && !stopping && (buffer_.size() > 0 || read_ahead_)) {
+    bool const full = server_.memory_ && server_.memory_->nearly_full();
+    bool const waits = (server_.closing_ || full) && !pipeline_.empty();
+    if (pipeline_.empty() && buffer_.size() == 0) {
+        buffer_.shrink_to_fit();
+        release_memory();
+    }
+    if (pipeline_.accepts() && !waits && (buffer_.size() > 0 || read_ahead_)) {
         read_header();
     }
     else {
@@ -120,16 +133,19 @@
 
 void server_connection::read_header()
 {
-    parser_.emplace();
-    parser_->header_limit(server_.limits_.header_bytes);
-    parser_->body_limit(server_.limits_.body_bytes);
+    reader_.emplace(request_limits{server_.limits_.header_bytes, server_.limits_.body_bytes});
+    buffer_.max_size(std::max(reader_->buffer_limit(), buffer_.size()));
+    enter_phase(phase::header, server_.limits_.header_timeout);
+    count_memory();
+    if (!input_open()) {
+        return;
+    }
     read_ahead_ = false;
     reading_ = true;
-    enter_phase(phase::header, server_.limits_.header_timeout);
-    http::async_read_header(socket_, buffer_, *parser_,
-                            [self = shared_from_this()](error_code error, std::size_t) {
+    http::async_read_header(socket_, buffer_, reader_->parse(),
+                            [self = shared_from_this()](error_code error, std::size_t bytes) {
                                 if (self->read_ended()) {
-                                    self->on_header(error);
+                                    self->on_header(error, bytes);
                                 }
                             });
 }
@@ -142,7 +158,7 @@
     return input_open();
 }
 
-void server_connection::on_header(error_code error)
+void server_connection::on_header(error_code error, std::size_t bytes)
 {
     if (error == http::error::header_limit) {
         reject(http::status::request_header_fields_too_large);
@@ -161,16 +177,19 @@
         end_input();
         return;
     }
-    if (parser_->get().count(http::field::transfer_encoding) > 0 && !parser_->chunked()) {
+    if (reader_->parse().get().count(http::field::transfer_encoding) > 0 &&
+        !reader_->parse().chunked()) {
         reject(http::status::not_implemented);
         return;
     }
-    bool const has_content = parser_->chunked() || parser_->content_length().value_or(0) > 0;
-    if (parser_->get().method() == http::verb::trace && has_content) {
+    bool const has_content =
+        reader_->parse().chunked() || reader_->parse().content_length().value_or(0) > 0;
+    if (reader_->parse().get().method() == http::verb::trace && has_content) {
         reject(http::status::bad_request); // RFC 9110, 9.3.8
         return;
     }
-    if (expects_continue(parser_->get()) && !parser_->is_done()) {
+    reader_->start_body(bytes);
+    if (expects_continue(reader_->parse().get()) && !reader_->parse().is_done()) {
         enter_phase(phase::held, no_timeout);
         ask_for_body();
         return;
@@ -200,34 +219,92 @@
 
 void server_connection::read_body()
 {
-    if (parser_->is_done()) {
+    if (reader_->parse().is_done()) {
         add_call();
         return;
     }
     read_ahead_ = false;
     reading_ = true;
-    enter_phase(phase::body, server_.limits_.body_timeout);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         if (self->read_ended()) {
-                             self->on_body(error);
-                         }
-                     });
+    if (phase_ != phase::body) {
+        enter_phase(phase::body, server_.limits_.body_timeout);
+    }
+    http::async_read_some(socket_, buffer_, reader_->parse(),
+                          [self = shared_from_this()](error_code error, std::size_t bytes) {
+                              if (self->read_ended()) {
+                                  self->on_body(error, bytes);
+                              }
+                          });
 }
 
-void server_connection::on_body(error_code error)
+void server_connection::on_body(error_code error, std::size_t bytes)
 {
-    if (error == http::error::body_limit) {
+    bool const too_long = error == http::error::body_limit ||
+                          error == http::error::buffer_overflow ||
+                          error == http::error::header_limit || (!error && !reader_->count(bytes));
+    if (too_long) {
+        reader_->discard();
         reject(http::status::payload_too_large);
+        return;
     }
-    else if (error) {
+    if (error) {
         end_input();
+        return;
     }
-    else {
-        add_call();
+    count_memory();
+    if (input_open()) {
+        read_body();
     }
 }
 
+/** Counts what this connection buffers; may release the memory of any connection, also of this. */
+void server_connection::count_memory()
+{
+    if (!server_.memory_ || closed_ || gives_up_) {
+        return;
+    }
+    if (!account_) {
+        account_ = server_.memory_->join([weak = weak_from_this()] {
+            if (auto const self = weak.lock()) {
+                self->give_memory_back();
+            }
+        });
+    }
+    holding const stage = request_arrives()        ? holding::incomplete_request
+                          : pipeline_.unanswered() ? holding::request
+                                                   : holding::response;
+    std::size_t const reading = reader_ ? reader_->held() : 0;
+    // How much of a header has arrived is known only at its end.
+    std::size_t const buffered = phase_ == phase::header
+                                     ? std::max(buffer_.capacity(), reader_->buffer_limit())
+                                     : buffer_.capacity();
+    server_.memory_->hold(*account_, reading + pipeline_.held() + buffered, stage);
+}
+
+void server_connection::release_memory()
+{
+    if (account_) {
+        server_.memory_->leave(*account_);
+        account_.reset();
+    }
+}
+
+/**
+ * Refuses the request that arrives, if there is one, else closes the connection. It closes in the
+ * next turn of the loop, as the owner may be at work on a call when another connection needs bytes.
+ */
+void server_connection::give_memory_back()
+{
+    account_.reset();
+    if (!request_arrives()) {
+        gives_up_ = true;
+        boost::asio::post(server_.loop_, [self = shared_from_this()] { self->close(); });
+        return;
+    }
+    reader_->discard();
+    refuse_unfinished();
+    count_memory(); // what the requests before it take
+}
+
 /** The client has left or sends nothing usable any more: its responses are all that is left. */
 void server_connection::end_input()
 {
@@ -252,11 +329,17 @@
         end_input();
         return;
     }
-    pipelined_call call{call_id(server_.next_call_++), parser_->release()};
-    parser_.reset();
+    pipelined_call call{call_id(server_.next_call_++), {}};
+    call.bytes = reader_->held();
+    call.request = reader_->release();
+    reader_.reset();
     call.concurrent = server_.hooks_.concurrent && server_.hooks_.concurrent(call.request);
     pipeline_.add(std::move(call));
     enter_phase(phase::between, no_timeout);
+    count_memory();
+    if (gives_up_) {
+        return;
+    }
     start_calls();
     if (!closed_ && phase_ == phase::between) {
         read_next();
@@ -280,6 +363,7 @@
 void server_connection::respond(call_id call, http_response response)
 {
     pipeline_.respond(call, std::move(response));
+    count_memory();
     write_next();
 }
 
@@ -294,7 +378,7 @@
 
 void server_connection::write_next()
 {
-    if (closed_ || writing_) {
+    if (closed_ || gives_up_ || writing_) {
         return;
     }
     if (auto due = pipeline_.take_response(server_.closing_)) {
@@ -336,6 +420,9 @@
     write_deadline_ = mono_time::max();
     response_ = http_response();
     pipeline_.sent();
+    if (account_) {
+        count_memory();
+    }
     if (error) {
         close();
         return;
@@ -365,22 +452,24 @@
 void server_connection::linger()
 {
     enter_phase(phase::lingering, linger_timeout);
+    release_memory();
     error_code ignored; // the read below fails if the connection is gone
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     if (reading_) { // a request that timed out while the last response was written
         socket_.cancel(ignored);
     }
     // Not buffer_, as the read that was cancelled has not let go of it yet.
-    auto const discarded = std::make_shared<std::array<char, linger_chunk_bytes>>();
-    auto discard = [self = shared_from_this(), discarded](auto&& again) -> void {
-        self->socket_.async_read_some(boost::asio::buffer(*discarded),
-                                      [self, again](error_code failed, std::size_t) {
-                                          if (failed || self->closed_) {
-                                              self->close();
-                                              return;
-                                          }
-                                          again(again);
-                                      });
+    auto const chunk = std::make_shared<std::array<char, linger_chunk_bytes>>();
+    auto discard = [self = shared_from_this(), chunk](auto&& again) -> void {
+        self->socket_.async_read_some(
+            boost::asio::buffer(*chunk), [self, again](error_code failed, std::size_t size) {
+                self->discarded_ += size;
+                if (failed || self->closed_ || self->discarded_ > linger_bytes) {
+                    self->close();
+                    return;
+                }
+                again(again);
+            });
     };
     discard(discard);
 }
@@ -403,7 +492,7 @@
 
 void server_connection::refuse_unfinished()
 {
-    if (phase_ == phase::header || phase_ == phase::held || phase_ == phase::body) {
+    if (request_arrives()) {
         reject(http::status::service_unavailable);
     }
 }
@@ -415,6 +504,11 @@
     }
 }
 
+std::optional<mono_time> server_connection::idle_until() const
+{
+    return phase_ == phase::between && pipeline_.empty() ? std::optional(deadline_) : std::nullopt;
+}
+
 void server_connection::close()
 {
     if (closed_) {
@@ -422,6 +516,7 @@
     }
     closed_ = true;
     auto const self = shared_from_this();
+    release_memory();
     error_code ignored; // a socket that the client has reset may fail to close
     socket_.close(ignored);
     server_.connections_.erase(this);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,10 +1,9 @@
 #pragma once
 /** @file One client connection of an http_server. */
 
+#include "http/request_reader.h"
 #include "http/server.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <optional>
 
 namespace cove {
@@ -35,6 +34,9 @@
     /** Closes the connection if it waits for the first byte of a request. */
     void close_if_idle();
 
+    /** @return until when it may wait for a request; nullopt unless it does. */
+    [[nodiscard]] std::optional<mono_time> idle_until() const;
+
     /** Closes the connection; reports the calls in progress to the client_disconnected hook. */
     void close();
 
@@ -45,14 +47,18 @@
 
     void enter_phase(phase next, milliseconds timeout);
     [[nodiscard]] bool input_open() const;
+    [[nodiscard]] bool request_arrives() const;
     void read_next();
     void watch();
     void on_readable(boost::system::error_code error);
     void read_header();
-    void on_header(boost::system::error_code error);
+    void on_header(boost::system::error_code error, std::size_t bytes);
     void ask_for_body();
     void read_body();
-    void on_body(boost::system::error_code error);
+    void on_body(boost::system::error_code error, std::size_t bytes);
+    void count_memory();
+    void release_memory();
+    void give_memory_back();
     [[nodiscard]] bool read_ended();
     void end_input();
     void add_call();
@@ -66,7 +72,9 @@
     http_server& server_;
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+    std::optional<request_reader> reader_;
+    std::optional<memory_budget::holder> account_; ///< of what this connection buffers
+    std::size_t discarded_ = 0;                    ///< bytes read while lingering
     call_pipeline pipeline_;
     http_response response_; ///< being written
     phase phase_ = phase::between;
@@ -76,6 +84,7 @@
     bool reading_ = false;                        ///< a read is pending
     bool writing_ = false;                        ///< a write is pending
     bool read_ahead_ = false; ///< bytes have arrived that are not read, which hide the end
+    bool gives_up_ = false;   ///< closes at once, as its memory is needed
     bool closed_ = false;
 };
 
