Divide quotas by desired rates, with parts set apart for silent hosts

Change: all hosts derive the same division from the desired rates; increases wait three seconds; what a silent host or zone held stays set apart for it as a part of the limit; while the desired rates fit the limit each host can admit two requests at once.

--- a/src/host/workspace_quotas.cpp
+++ b/src/host/workspace_quotas.cpp
@@ -1,5 +1,7 @@
 #include "host/workspace_quotas.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 #include <ctime>
 
@@ -60,7 +62,8 @@
                                    std::uint64_t seed, mono_time now)
     : log_(log), random_(seed), window_(settings.quota_window),
       claims_(make_self(settings), make_quota_settings(settings), now),
-      limiter_(make_quota_settings(settings)), suspended_(time_suspended())
+      limiter_(make_quota_settings(settings), stable_hash(settings.name)),
+      suspended_(time_suspended())
 {
 }
 
@@ -75,7 +78,7 @@
     claims_.set_limits(limits_);
     limiter_.set_limits(limits_, now);
     for (auto const& [name, limit] : limits_) {
-        limiter_.set_claim(name, claims_.claim(name), now);
+        limiter_.set_claim(name, claims_.claim(name), claims_.within_limit(name), now);
     }
     std::erase_if(last_refusals_,
                   [this](auto const& item) { return !limits_.contains(item.first); });
@@ -155,7 +158,7 @@
                  now);
     limiter_.set_hosts(claims_.known_hosts());
     for (auto const& [name, limit] : limits_) {
-        limiter_.set_claim(name, claims_.claim(name), now);
+        limiter_.set_claim(name, claims_.claim(name), claims_.within_limit(name), now);
     }
     note_ended_limiting(now);
 }
--- a/src/quota/quota_claims.cpp
+++ b/src/quota/quota_claims.cpp
@@ -12,28 +12,17 @@
 constexpr milliseconds peer_silence_max{1500};
 /// Three statuses of a zone, which are sent every second.
 constexpr milliseconds zone_silence_max{3000};
-/// A longer pause of this process may have cost it any message.
-constexpr milliseconds tick_gap_max{1000};
 constexpr milliseconds report_tick{250};
 /// A new process has received all entries of its zone and of the others by then.
-constexpr milliseconds learning_time{3500};
+constexpr milliseconds learning_time{1500};
 constexpr milliseconds refresh_interval{2000};
 /// Entries that are not refreshed for this long, ten times the interval, have ended.
 constexpr milliseconds entry_lifetime{20'000};
-/// An increase is known to all hosts by then; the next one counts those of the others. A host with
-/// most of the demand has few others to wait for and waits for a smaller part of it.
-constexpr milliseconds increase_interval{1500};
-/// Reservations that collide are resolved by their hosts within this time.
-constexpr milliseconds excess_max{2500};
 constexpr double headroom = 1.25;      ///< of the desired rate over the demand
 constexpr double demand_change = 0.15; ///< relative; smaller ones are not announced
-constexpr double claim_fall = 0.05;    ///< relative; smaller ones would free little
-constexpr double claim_rise = 0.02;    ///< relative; smaller ones are not worth a delay
 constexpr double least_demand = 0.01;  ///< requests per second; less is none
-constexpr double rounding = 1e-6;      ///< relative; rates are sent as single-precision numbers
-/// Workspaces up to this number are kept divided among all hosts also while they are idle. More of
-/// them would cost too many bytes.
-constexpr std::size_t max_idle_shares = 4;
+/// Part of a limit that is divided evenly, so that each host can admit first requests.
+constexpr double even_share = 0.03;
 
 std::uint32_t key_of(workspace_id const& workspace)
 {
@@ -70,10 +59,14 @@
             own_.erase(name); // the name of an earlier workspace has the same hash
             continue;
         }
-        own_share& own = own_[name];
+        auto const [found, inserted] = own_.try_emplace(name);
+        own_share& own = found->second;
         own.key = key;
-        if (limit.rate < own.limit) {
-            lower(own, own.in_force * limit.rate / own.limit);
+        if (inserted) {
+            put_in_force(own, 0, last_tick_);
+        }
+        else if (limit.rate < own.limit) {
+            put_in_force(own, own.in_force * limit.rate / own.limit, last_tick_);
         }
         own.limit = limit.rate;
     }
@@ -83,23 +76,21 @@
 {
     started_ = now;
     for (auto& [name, own] : own_) {
-        if (own.reserved > 0) {
-            lower(own, 0);
-            own.changed = now;
-        }
+        put_in_force(own, 0, now);
     }
 }
 
-void quota_claims::lower(own_share& own, double rate)
+/** Notes the part of the limit derived now; the claim is the least one of the last delay. */
+void quota_claims::put_in_force(own_share& own, double part, mono_time now)
 {
-    own.reserved = std::min(own.reserved, rate);
-    own.in_force = std::min(own.in_force, rate);
-    auto const first = std::find_if(own.pending.begin(), own.pending.end(),
-                                    [rate](auto const& each) { return each.rate > rate; });
-    if (first != own.pending.end()) {
-        first->rate = rate;
-        own.pending.erase(first + 1, own.pending.end());
+    while (!own.parts.empty() && own.parts.back().rate >= part) {
+        own.parts.pop_back();
+    }
+    own.parts.push_back({now, part});
+    while (own.parts.front().at + increase_delay < now) {
+        own.parts.pop_front();
     }
+    own.in_force = own.parts.front().rate;
 }
 
 void quota_claims::read_entries(participant& from, std::vector<quota_demand> const& entries,
@@ -110,8 +101,14 @@
             continue;
         }
         share& known = from.shares[entry.workspace];
-        (entry.hosts == 0 ? known.reserved : known.desired) = entry.rate;
         known.refreshed = now;
+        if (entry.hosts > 0 || entry.rate == 0) {
+            known.desired = entry.rate;
+            known.hosts = entry.hosts;
+        }
+        else {
+            known.set_apart = entry.rate;
+        }
     }
 }
 
@@ -144,9 +141,7 @@
     peer.sequence = report.sequence;
     peer.heard = now;
     peer.leaving = report.leaving;
-    peer.misses_reports =
-        std::any_of(report.quota_demands.begin(), report.quota_demands.end(),
-                    [](auto const& entry) { return entry.workspace == 0 && entry.rate > 0; });
+    peer.has_reported = true;
     read_entries(peer, report.quota_demands, now);
 }
 
@@ -168,11 +163,10 @@
     zone.sequence = status.sequence;
     zone.heard = now;
     zone.silence_max = zone_silence_max;
-    zone.misses_reports = about->rate > 0;
     if (about->hosts == 0) {
-        zone.misses_reports = true; // its speaker does not know the entries of its zone yet
-        return;
+        return; // its speaker does not know the entries of its zone yet
     }
+    zone.has_reported = true;
     zone.hosts = std::max(1, about->zone_hosts);
     zone.shares.clear();
     read_entries(zone, status.quota_demands, now);
@@ -189,22 +183,86 @@
     }
 }
 
-quota_claims::share quota_claims::others(std::uint32_t key) const
+bool quota_claims::silent(participant const& other, mono_time now) const
+{
+    return other.has_reported && now - other.heard > other.silence_max;
+}
+
+/** @return the number of its hosts; a zone that has not been heard is taken to be like this one. */
+int quota_claims::hosts_of(participant const& other) const
+{
+    bool const unknown_zone = !other.has_reported && other.silence_max == zone_silence_max;
+    return unknown_zone ? 1 + static_cast<int>(peers_.size()) : other.hosts;
+}
+
+/** @return the even part of a host in the limit, in requests per second. */
+double quota_claims::even_part(own_share const& own) const
+{
+    return even_share * own.limit / known_hosts();
+}
+
+double quota_claims::weight_of(participant const& other, own_share const& own) const
+{
+    auto const found = other.shares.find(own.key);
+    share const wanted = found == other.shares.end() ? share{} : found->second;
+    int const idle = std::max(0, hosts_of(other) - wanted.hosts);
+    return wanted.desired + even_part(own) * idle;
+}
+
+quota_claims::division quota_claims::others(own_share const& own) const
 {
-    share sum;
+    division out;
     for_each_other([&](participant const& other) {
-        if (auto const found = other.shares.find(key); found != other.shares.end()) {
-            sum.desired += found->second.desired;
-            sum.reserved += found->second.reserved;
+        auto const wanted = other.shares.find(own.key);
+        out.desired += wanted == other.shares.end() ? 0 : wanted->second.desired;
+        if (!other.held) {
+            out.weights += weight_of(other, own);
+            auto const found = other.shares.find(own.key);
+            out.held += found == other.shares.end() ? 0 : found->second.set_apart;
+        }
+        else if (auto const found = other.held->find(own.key); found != other.held->end()) {
+            out.held += found->second;
         }
     });
-    return sum;
+    return out;
+}
+
+/** Sets apart what hosts and zones have claimed that have fallen silent; ends it when heard. */
+void quota_claims::hold_claims_of_silent(mono_time now)
+{
+    std::vector<std::pair<participant*, part_table>> newly_silent;
+    auto const check = [&](participant& other) {
+        if (!silent(other, now)) {
+            other.held.reset();
+        }
+        else if (!other.held) {
+            part_table claims;
+            for (auto const& [name, own] : own_) {
+                division const rest = others(own);
+                double const all = rest.weights + std::max(own.desired, even_part(own));
+                double const room = std::max(0.0, 1 - rest.held);
+                auto const found = other.shares.find(own.key);
+                double const apart = found == other.shares.end() ? 0 : found->second.set_apart;
+                claims[own.key] = apart + (all > 0 ? room * weight_of(other, own) / all : 0);
+            }
+            newly_silent.emplace_back(&other, std::move(claims));
+        }
+    };
+    for (auto& [name, peer] : peers_) {
+        check(peer);
+    }
+    for (auto& [name, zone] : zones_) {
+        check(zone);
+    }
+    for (auto& [other, claims] : newly_silent) {
+        other->held = std::move(claims);
+    }
 }
 
 int quota_claims::known_hosts() const
 {
     int known = 1;
-    for_each_other([&known](participant const& other) { known += other.hosts; });
+    for_each_other([&](participant const& other) { known += hosts_of(other); });
     int const own_zone = 1 + static_cast<int>(peers_.size());
     return std::max(known,
                     own_zone * static_cast<int>(std::max<std::size_t>(1, zones_.size() + 1)));
@@ -214,7 +272,7 @@
 {
     int heard = 1;
     for_each_other(
-        [&](participant const& other) { heard += now - other.heard <= age ? other.hosts : 0; });
+        [&](participant const& other) { heard += now - other.heard <= age ? hosts_of(other) : 0; });
     return heard;
 }
 
@@ -222,7 +280,7 @@
 void quota_claims::expire(mono_time now)
 {
     int known = 1;
-    for_each_other([&known](participant const& other) { known += other.hosts; });
+    for_each_other([&](participant const& other) { known += hosts_of(other); });
     if (2 * hosts_heard_within(zone_silence_max, now) <= known) {
         // It cannot tell which of the others have stopped while it does not hear them.
         hears_most_since_ = now;
@@ -243,22 +301,6 @@
     }
 }
 
-bool quota_claims::misses_reports(mono_time now) const
-{
-    bool misses = false;
-    for_each_other([&](participant const& other) {
-        misses = misses || now - other.heard > other.silence_max;
-    });
-    return misses;
-}
-
-bool quota_claims::others_miss_reports() const
-{
-    bool misses = false;
-    for_each_other([&](participant const& other) { misses = misses || other.misses_reports; });
-    return misses;
-}
-
 void quota_claims::tick(quota_claims_tick const& input, mono_time now)
 {
     auto const gap = now - last_tick_;
@@ -268,150 +310,96 @@
             peer_silence_max * std::max<std::int64_t>(1, input.report_interval / report_tick);
     }
     expire(now);
+    hold_claims_of_silent(now);
     int known = 1;
-    for_each_other([&known](participant const& other) { known += other.hosts; });
+    for_each_other([&](participant const& other) { known += hosts_of(other); });
     bool const isolated = 2 * hosts_heard_within(isolation_max, now) < known;
     if (isolated || gap > isolation_max) {
         restart(now);
     }
-    bool const misses = misses_reports(now);
-    bool const may_increase = !misses && !others_miss_reports() && gap <= tick_gap_max;
+    bool const learned = now >= started_ + learning_time;
     for (auto& [name, own] : own_) {
-        update_desired(own, input.leaving ? 0 : input.demand(name), input, now);
-        if (own.desired == 0 && own.reserved == 0) {
-            continue;
-        }
-        share const rest = others(own.key);
-        put_in_force(own, rest, may_increase, now);
-        update_reserved(own, rest, may_increase && now >= started_ + learning_time, now);
-        resolve_excess(own, rest, now);
-    }
-    write_report(input, misses, now);
-    write_status(misses, now);
+        update_desired(own, input.leaving ? 0 : input.demand(name), input.leaving, now);
+        double const weight = input.leaving ? 0 : std::max(own.desired, even_part(own));
+        division const rest = others(own);
+        double const room = own.limit * std::max(0.0, 1 - rest.held);
+        double const all = weight + rest.weights;
+        double const part = learned && all > 0 ? room * weight / all : 0;
+        put_in_force(own, part, now);
+        own.within_limit = learned && !input.leaving && own.desired + rest.desired <= own.limit;
+    }
+    write_report(input, now);
+    write_status(now);
 }
 
-void quota_claims::update_desired(own_share& own, double demand, quota_claims_tick const& input,
-                                  mono_time now) const
+void quota_claims::update_desired(own_share& own, double demand, bool leaving, mono_time now) const
 {
     double const least = 1 / std::chrono::duration<double>(settings_.window).count();
-    bool const keeps_share = own_.size() <= max_idle_shares && !input.leaving;
-    double desired = 0;
-    if (demand > least_demand || keeps_share) {
-        desired = std::max(demand * headroom, least);
-    }
+    double const desired =
+        demand > least_demand && !leaving ? std::max(demand * headroom, least) : 0;
     if (differs(desired, own.desired, demand_change)) {
         own.desired = desired;
         own.changed = now;
     }
 }
 
-void quota_claims::update_reserved(own_share& own, share const& rest, bool may_increase,
-                                   mono_time now) const
-{
-    double const desired = own.desired + rest.desired;
-    double const part = desired > 0 ? own.desired / desired : 0;
-    double const target = own.limit * part;
-    if (target < own.reserved * (1 - claim_fall)) {
-        lower(own, target);
-        own.changed = now;
-        return;
-    }
-    double const room = own.limit - own.reserved - rest.reserved;
-    double const increase = std::min(target - own.reserved, room * part);
-    if (may_increase && now >= own.next_increase && increase > target * claim_rise) {
-        own.reserved += increase;
-        own.pending.push_back({own.reserved, now + increase_delay});
-        own.next_increase =
-            now + std::chrono::duration_cast<milliseconds>(increase_interval * (1 - part));
-        own.changed = now;
-    }
-}
-
-void quota_claims::put_in_force(own_share& own, share const& rest, bool may_increase, mono_time now)
-{
-    if (!may_increase) {
-        for (pending_claim& each : own.pending) {
-            each.effective = now + increase_delay;
-        }
-        return;
-    }
-    while (!own.pending.empty() && own.pending.front().effective <= now) {
-        double const free = own.limit * (1 + rounding) - rest.reserved;
-        if (own.pending.front().rate > free) {
-            lower(own, std::max(own.in_force, free)); // others have reserved the same
-            own.changed = now;
-        }
-        own.in_force = std::max(own.in_force, own.pending.front().rate);
-        own.pending.erase(own.pending.begin());
-    }
-}
-
-/** Shrinks claims that exceed the limit together, as after hosts could not hear each other. */
-void quota_claims::resolve_excess(own_share& own, share const& rest, mono_time now)
-{
-    double const sum = own.in_force + rest.reserved;
-    if (sum <= own.limit * (1 + rounding) || own.in_force == 0) {
-        own.excess_since = now;
-    }
-    else if (now - own.excess_since > excess_max) {
-        lower(own, own.in_force * own.limit / sum);
-        own.changed = now;
-        own.excess_since = now;
-    }
-}
-
-void quota_claims::write_report(quota_claims_tick const& input, bool misses, mono_time now)
+void quota_claims::write_report(quota_claims_tick const& input, mono_time now)
 {
     report_.clear();
-    if (misses && !own_.empty()) {
-        report_.push_back({0, 1, 1, 0});
-    }
     for (auto const& [name, own] : own_) {
         auto const age = now - own.changed;
-        bool const used = own.desired > 0 || own.reserved > 0 || age < entry_lifetime;
-        // All receivers of a round get the entry; an increase goes into every report until then.
-        bool const due = age % refresh_interval < input.report_interval || !own.pending.empty();
+        bool const used = own.desired > 0 || age < entry_lifetime;
+        // All receivers of a round get the entry.
+        bool const due = age % refresh_interval < input.report_interval;
         if (used && due && own.changed != mono_time{}) {
-            report_.push_back({own.key, own.reserved, 0, 0});
-            report_.push_back({own.key, own.desired, 1, 0});
+            report_.push_back({own.key, own.desired, own.desired > 0 ? 1 : 0, 0});
         }
     }
 }
 
-void quota_claims::write_status(bool misses, mono_time now)
+void quota_claims::write_status(mono_time now)
 {
     status_.clear();
     std::unordered_map<std::uint32_t, share> sums;
-    bool peers_miss = false;
     for (auto const& [name, peer] : peers_) {
-        peers_miss = peers_miss || peer.misses_reports;
+        if (peer.held) {
+            for (auto const& [key, rate] : *peer.held) {
+                sums[key].set_apart += rate;
+            }
+            continue;
+        }
         for (auto const& [key, entry] : peer.shares) {
-            sums[key].reserved += entry.reserved;
             sums[key].desired += entry.desired;
+            sums[key].hosts += entry.hosts;
         }
     }
     for (auto const& [name, own] : own_) {
-        if (own.desired > 0 || own.reserved > 0) {
-            sums[own.key].reserved += own.reserved;
+        if (own.desired > 0) {
             sums[own.key].desired += own.desired;
+            sums[own.key].hosts += 1;
         }
     }
     if (sums.empty() && own_.empty()) {
         return;
     }
     bool const complete = now >= started_ + learning_time;
-    status_.push_back({0, misses || peers_miss ? 1.0 : 0.0, complete ? 1 : 0,
-                       1 + static_cast<int>(peers_.size())});
+    status_.push_back({0, 0, complete ? 1 : 0, 1 + static_cast<int>(peers_.size())});
     for (auto const& [key, sum] : sums) {
-        if (sum.reserved > 0) {
-            status_.push_back({key, sum.reserved, 0, 0});
-        }
         if (sum.desired > 0) {
-            status_.push_back({key, sum.desired, 1, 0});
+            status_.push_back({key, sum.desired, sum.hosts, 0});
+        }
+        if (sum.set_apart > 0) {
+            status_.push_back({key, sum.set_apart, 0, 0});
         }
     }
 }
 
+bool quota_claims::within_limit(workspace_id const& workspace) const
+{
+    auto const found = own_.find(workspace);
+    return found != own_.end() && found->second.within_limit;
+}
+
 double quota_claims::claim(workspace_id const& workspace) const
 {
     auto const found = own_.find(workspace);
--- a/src/quota/quota_claims.h
+++ b/src/quota/quota_claims.h
@@ -4,6 +4,7 @@
 #include "peer/peer_message.h"
 #include "quota/quota_type.h"
 
+#include <deque>
 #include <functional>
 #include <unordered_map>
 
@@ -27,17 +28,19 @@
 /**
  * The claims of this host on the limits of workspaces, in requests per second.
  *
- * For each workspace a host announces what it desires and what it reserves. A reservation grows
- * only into what all known reservations leave free, and becomes a claim in force `increase_delay`
- * later, if the reservations then known still fit. So a claim in force is never above any
- * reservation that was announced within the delay, and other hosts count a host with its latest
- * announcement: the claims fit the limit as long as each host hears of each other at least once
- * within the delay. If one does not, it says so, and no claim of any host grows. A claim falls at
- * once to its share of the limit, which is in proportion to the desired rates.
+ * For each workspace a host announces the rate that it desires. From the rates that they have
+ * heard, all hosts derive the same division of the limit: in proportion to the desired rates, and
+ * an even part for hosts that desire less than that. A claim falls at once and grows to the least
+ * part of the last `increase_delay`, so that the others have heard of it and given way before.
  *
- * Entries on the wire (quota_demand): `hosts` 0 is a reservation, above 0 a desired rate. An entry
- * with workspace 0 is about the sender: `rate` 1 if it misses reports, `hosts` 1 if its sums are
- * complete, `zone_hosts` the hosts of its zone.
+ * What a silent host or zone has claimed stays set apart for it, as it may only be cut off, and the
+ * hosts that hear each other divide the rest. On either side of a cut the claims thus stay within
+ * what they were together when it began.
+ *
+ * Entries on the wire (quota_demand): the desired rate of a host, or the sum of a zone and the
+ * number of its hosts with such a rate; with `hosts` 0, the rate that a zone sets apart for those
+ * of its hosts that are silent. An entry with workspace 0 is about the sender: `hosts` 1 if its
+ * sums are complete, `zone_hosts` the hosts of its zone.
  */
 class quota_claims {
 public:
@@ -64,6 +67,9 @@
     /** @return requests per second that this host may admit now. */
     [[nodiscard]] double claim(workspace_id const& workspace) const;
 
+    /** @return whether all hosts together desire less than the limit, as far as known. */
+    [[nodiscard]] bool within_limit(workspace_id const& workspace) const;
+
     /** @return entries for the next report of this host. */
     [[nodiscard]] std::vector<quota_demand> const& report_entries() const { return report_; }
 
@@ -73,21 +79,22 @@
     /** @return hosts that share the limits, as far as known, this one included. */
     [[nodiscard]] int known_hosts() const;
 
-    /// From a reservation to the claim. Statuses of zones are sent every second, so that the loss
-    /// of two in a row is bridged.
-    static constexpr milliseconds increase_delay{5000};
-    static constexpr milliseconds retention{60'000}; ///< of what a silent host has reserved
+    /// Statuses of zones are sent every second, so that the loss of one is bridged.
+    static constexpr milliseconds increase_delay{3000};
+    static constexpr milliseconds retention{60'000}; ///< of what a silent host has claimed
     /// A host that hears less than half of the hosts for this long gives up its claims, before the
     /// others reuse them.
     static constexpr milliseconds isolation_max{45'000};
 
 private:
     struct share {
-        double desired = 0;
-        double reserved = 0;
+        double desired = 0;   ///< requests per second, of all its hosts together
+        int hosts = 0;        ///< with a desired rate
+        double set_apart = 0; ///< part of the limit, for silent hosts of the zone
         mono_time refreshed{};
     };
     using share_table = std::unordered_map<std::uint32_t, share>;
+    using part_table = std::unordered_map<std::uint32_t, double>; ///< parts of the limits, 0 to 1
 
     /** What is known of another host of this zone, or of another zone. */
     struct participant {
@@ -98,45 +105,50 @@
         milliseconds silence_max{};
         int hosts = 1;
         bool leaving = false;
-        bool misses_reports = false; ///< as it said
+        bool has_reported = false;
         share_table shares;
+        std::optional<part_table> held; ///< while it is silent: its claims when that began
     };
 
-    /** A reservation that is not in force yet. */
-    struct pending_claim {
+    /** A part of the limit, as derived at one time. */
+    struct derived_part {
+        mono_time at{};
         double rate = 0;
-        mono_time effective{};
     };
 
     struct own_share {
         std::uint32_t key = 0;
         double limit = 0; ///< requests per second
         double desired = 0;
-        double reserved = 0;
         double in_force = 0;
-        std::vector<pending_claim> pending; ///< in the order of their rates and times
-        mono_time next_increase{};
-        mono_time changed{};      ///< last change of what is announced
-        mono_time excess_since{}; ///< since when the claims known exceed the limit
+        bool within_limit = false;      ///< the desired rates of all hosts add up to less
+        std::deque<derived_part> parts; ///< of the last increase_delay; rates increase
+        mono_time changed{};            ///< last change of what is announced
+    };
+
+    /** Weights of the others that are heard, and what silent ones hold. */
+    struct division {
+        double weights = 0;
+        double held = 0;    ///< part of the limit
+        double desired = 0; ///< requests per second, also of silent ones
     };
 
-    static void lower(own_share& own, double rate);
     static void read_entries(participant& from, std::vector<quota_demand> const& entries,
                              mono_time now);
-    [[nodiscard]] share others(std::uint32_t key) const;
+    [[nodiscard]] bool silent(participant const& other, mono_time now) const;
+    [[nodiscard]] int hosts_of(participant const& other) const;
+    [[nodiscard]] double even_part(own_share const& own) const;
+    [[nodiscard]] double weight_of(participant const& other, own_share const& own) const;
+    [[nodiscard]] division others(own_share const& own) const;
+    void hold_claims_of_silent(mono_time now);
+    static void put_in_force(own_share& own, double part, mono_time now);
     template <class Visit>
     void for_each_other(Visit const& visit) const;
     void expire(mono_time now);
-    [[nodiscard]] bool misses_reports(mono_time now) const;
-    [[nodiscard]] bool others_miss_reports() const;
     [[nodiscard]] int hosts_heard_within(milliseconds age, mono_time now) const;
-    void update_desired(own_share& own, double demand, quota_claims_tick const& input,
-                        mono_time now) const;
-    void update_reserved(own_share& own, share const& rest, bool may_increase, mono_time now) const;
-    static void put_in_force(own_share& own, share const& rest, bool may_increase, mono_time now);
-    static void resolve_excess(own_share& own, share const& rest, mono_time now);
-    void write_report(quota_claims_tick const& input, bool misses, mono_time now);
-    void write_status(bool misses, mono_time now);
+    void update_desired(own_share& own, double demand, bool leaving, mono_time now) const;
+    void write_report(quota_claims_tick const& input, mono_time now);
+    void write_status(mono_time now);
 
     quota_claims_self self_;
     quota_settings settings_;
--- a/src/quota/quota_limiter.cpp
+++ b/src/quota/quota_limiter.cpp
@@ -1,5 +1,7 @@
 #include "quota/quota_limiter.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,11 +9,13 @@
 
 namespace {
 
-constexpr double demand_smoothing_seconds = 5;
+constexpr double demand_smoothing_seconds = 2;
 constexpr double whole_unit = 1 - 1e-9; ///< one unit, less rounding errors of the refill
 /// A bucket of one unit loses what is refilled while a whole unit waits for the next request.
 constexpr double small_bucket = 2;
 constexpr milliseconds longest_wait{60'000};
+/// Part of the tolerance by which buckets are enlarged; the rest is for minimum rates.
+constexpr double rounding_part = 0.75;
 
 double seconds_between(mono_time from, mono_time to)
 {
@@ -50,29 +54,45 @@
     }
 }
 
-void quota_limiter::set_claim(workspace_id const& workspace, double rate, mono_time now)
+void quota_limiter::set_claim(workspace_id const& workspace, double rate, bool within_limit,
+                              mono_time now)
 {
     auto const found = buckets_.find(workspace);
     if (found == buckets_.end()) {
         return;
     }
     found->second.renewed = std::max(found->second.renewed, now);
-    if (found->second.claim == rate) {
+    if (found->second.claim == rate && found->second.within_limit == within_limit) {
         return;
     }
     refill(found->second, now);
     found->second.claim = rate;
+    found->second.within_limit = within_limit;
     resize(found->second);
 }
 
 void quota_limiter::resize(bucket& entry) const
 {
     double const share = entry.claim / entry.limit.rate;
-    double const all = entry.limit.burst + tolerance_of(settings_, entry.limit) / 2;
-    entry.size = std::max(entry.limit.burst * share, std::min(all * share, small_bucket));
+    double const all = entry.limit.burst + rounding_part * tolerance_of(settings_, entry.limit);
+    double enlarged = std::min(all * share, small_bucket);
+    if (entry.within_limit && entry.claim > 0) {
+        enlarged = small_bucket;
+    }
+    else if (enlarged < whole_unit && rounds_up(entry.count.workspace, enlarged)) {
+        enlarged = 1;
+    }
+    entry.size = std::max(entry.limit.burst * share, enlarged);
     entry.units = std::min(entry.units, entry.size);
 }
 
+/** @return whether this host rounds @p part of a unit up, as that part of all hosts does. */
+bool quota_limiter::rounds_up(workspace_id const& workspace, double part) const
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    return static_cast<double>(stable_hash(workspace.value, seed_)) / range < part;
+}
+
 void quota_limiter::refill(bucket& entry, mono_time now)
 {
     if (now > entry.period_start + return_time) {
@@ -97,6 +117,7 @@
     entry.measured = now;
     if (now > entry.renewed + claim_lifetime) {
         entry.claim = 0;
+        entry.within_limit = false;
         resize(entry);
     }
     refill(entry, now);
@@ -116,12 +137,12 @@
 }
 
 /**
- * @return time between two units of the minimum rate, so that all hosts together take at most half
- * of the tolerance in a window; zero if there are none.
+ * @return time between two units of the minimum rate, so that all hosts together take at most the
+ * rest of the tolerance in a window; zero if there are none.
  */
 milliseconds quota_limiter::minimum_interval(bucket const& entry) const
 {
-    double const units = tolerance_of(settings_, entry.limit) / 2;
+    double const units = (1 - rounding_part) * tolerance_of(settings_, entry.limit);
     if (units < 1) {
         return {};
     }
--- a/src/quota/quota_limiter.h
+++ b/src/quota/quota_limiter.h
@@ -28,13 +28,17 @@
 /**
  * Admits requests from one token bucket per workspace and measures the demand.
  *
- * All buckets of a workspace together hold at most burst + tolerance / 2: a small bucket is
- * enlarged to at most two units and to its share of that sum. A host whose bucket holds less than
- * one unit admits requests at a minimum rate from the other half of the tolerance.
+ * All buckets of a workspace together hold at most the burst and three quarters of the
+ * tolerance: a small bucket is enlarged to at most two units and to its share of that sum. A host
+ * whose bucket holds less than one unit admits requests at a minimum rate from the other quarter.
  */
 class quota_limiter {
 public:
-    explicit quota_limiter(quota_settings settings) : settings_(settings) {}
+    /** @param seed different on each host; decides which hosts round a small bucket up. */
+    explicit quota_limiter(quota_settings settings, std::uint64_t seed = 0)
+        : settings_(settings), seed_(seed)
+    {
+    }
 
     /** Replaces the limits. A bucket that stays keeps its units, up to its new size. */
     void set_limits(workspace_limits const& limits, mono_time now);
@@ -42,8 +46,10 @@
     /**
      * @param rate requests per second that this host may admit of the workspace, for at most
      * `claim_lifetime`: after a longer pause of this process other hosts may use its claim.
+     * @param within_limit whether all hosts together desire less than the limit. Each of them can
+     * then admit a first request.
      */
-    void set_claim(workspace_id const& workspace, double rate, mono_time now);
+    void set_claim(workspace_id const& workspace, double rate, bool within_limit, mono_time now);
 
     /** @param hosts that are known to share the limits, this one included. */
     void set_hosts(int hosts) { hosts_ = hosts; }
@@ -76,6 +82,7 @@
     struct bucket {
         workspace_limit limit;
         double claim = 0;
+        bool within_limit = false;
         mono_time renewed{}; ///< when the claim was last set
         double size = 0;
         double units = 0;
@@ -89,11 +96,13 @@
     };
 
     void resize(bucket& entry) const;
+    [[nodiscard]] bool rounds_up(workspace_id const& workspace, double part) const;
     static void refill(bucket& entry, mono_time now);
     quota_unit take_minimum(bucket& entry, mono_time now) const;
     [[nodiscard]] milliseconds minimum_interval(bucket const& entry) const;
 
     quota_settings settings_;
+    std::uint64_t seed_;
     int hosts_ = 1;
     std::unordered_map<workspace_id, bucket> buckets_;
 };
