Spare small holders of memory while their header is read; count the growth of answers

Cause: a request whose header was being read counted as its whole buffer limit, 16 KiB and the bytes read ahead, which is more than the size up to which holders are spared: under pressure ordinary requests were the first to be refused. Answers of targets, which may take half of the memory since the budget is shared, grow by doubling and took up to three times what was counted. Change: holders of up to 64 KiB are spared; bytes of answers count twice.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -19,6 +19,8 @@
 
 /// A shorter response is not counted; most are.
 constexpr std::uint64_t uncounted_bytes = 16'384;
+/// A body that grows takes up to twice its bytes, and they are copied meanwhile.
+constexpr std::uint64_t growth_factor = 2;
 constexpr unsigned first_status = 100;
 constexpr unsigned last_status = 599;        ///< RFC 9110, 15: others are invalid
 constexpr unsigned first_final_status = 200; ///< responses with a lower status are interim ones
@@ -199,7 +201,7 @@
             }
         });
     }
-    limits_.memory->hold(*held_, received_);
+    limits_.memory->hold(*held_, growth_factor * received_);
 }
 
 /** In the next turn of the loop, as the owner may be at work on another request. */
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Holders of no more are spared while others exist: ordinary requests are that small.
-constexpr std::uint64_t spared_bytes = 16'384;
+/// Holders of no more are spared while others exist: ordinary requests are that small, also while
+/// their header is read and counts as the largest one allowed.
+constexpr std::uint64_t spared_bytes = 65'536;
 
 } // namespace
 
--- a/src/quota/quota_limiter.cpp
+++ b/src/quota/quota_limiter.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr double demand_smoothing_seconds = 2;
+constexpr double demand_smoothing_seconds = 4;
 constexpr double whole_unit = 1 - 1e-9; ///< one unit, less rounding errors of the refill
 /// A bucket of one unit loses what is refilled while a whole unit waits for the next request.
 constexpr double small_bucket = 2;
