Give hosts of few requests units of a quota while the demand fits the limit

Cause: claims in proportion to the demand refuse hosts with a request now and then, as these do not come at even intervals; workspaces of few requests a second were served a tenth as often as others. Change: while the demand of all hosts fits the limit, each host has a bucket of two units that gets one every two seconds, beside its claim. The desired rate has no least value any more.

--- a/src/quota/quota_claims.cpp
+++ b/src/quota/quota_claims.cpp
@@ -326,17 +326,16 @@
         double const all = weight + rest.weights;
         double const part = learned && all > 0 ? room * weight / all : 0;
         put_in_force(own, part, now);
-        own.within_limit = learned && !input.leaving && own.desired + rest.desired <= own.limit;
+        own.within_limit =
+            learned && !input.leaving && own.desired + rest.desired <= headroom * own.limit;
     }
     write_report(input, now);
     write_status(now);
 }
 
-void quota_claims::update_desired(own_share& own, double demand, bool leaving, mono_time now) const
+void quota_claims::update_desired(own_share& own, double demand, bool leaving, mono_time now)
 {
-    double const least = 1 / std::chrono::duration<double>(settings_.window).count();
-    double const desired =
-        demand > least_demand && !leaving ? std::max(demand * headroom, least) : 0;
+    double const desired = demand > least_demand && !leaving ? demand * headroom : 0;
     if (differs(desired, own.desired, demand_change)) {
         own.desired = desired;
         own.changed = now;
--- a/src/quota/quota_claims.h
+++ b/src/quota/quota_claims.h
@@ -38,9 +38,9 @@
  * what they were together when it began.
  *
  * Entries on the wire (quota_demand): the desired rate of a host, or the sum of a zone and the
- * number of its hosts with such a rate; with `hosts` 0, the rate that a zone sets apart for those
- * of its hosts that are silent. An entry with workspace 0 is about the sender: `hosts` 1 if its
- * sums are complete, `zone_hosts` the hosts of its zone.
+ * number of its hosts with such a rate; with `hosts` 0, the part of the limit, 0 to 1, that a zone
+ * sets apart for those of its hosts that are silent. An entry with workspace 0 is about the sender:
+ * `hosts` 1 if its sums are complete, `zone_hosts` the hosts of its zone.
  */
 class quota_claims {
 public:
@@ -67,7 +67,7 @@
     /** @return requests per second that this host may admit now. */
     [[nodiscard]] double claim(workspace_id const& workspace) const;
 
-    /** @return whether all hosts together desire less than the limit, as far as known. */
+    /** @return whether the demand of all hosts fits the limit, as far as known. */
     [[nodiscard]] bool within_limit(workspace_id const& workspace) const;
 
     /** @return entries for the next report of this host. */
@@ -121,7 +121,7 @@
         double limit = 0; ///< requests per second
         double desired = 0;
         double in_force = 0;
-        bool within_limit = false;      ///< the desired rates of all hosts add up to less
+        bool within_limit = false;      ///< the demand of all hosts fits the limit
         std::deque<derived_part> parts; ///< of the last increase_delay; rates increase
         mono_time changed{};            ///< last change of what is announced
     };
@@ -146,7 +146,7 @@
     void for_each_other(Visit const& visit) const;
     void expire(mono_time now);
     [[nodiscard]] int hosts_heard_within(milliseconds age, mono_time now) const;
-    void update_desired(own_share& own, double demand, bool leaving, mono_time now) const;
+    static void update_desired(own_share& own, double demand, bool leaving, mono_time now);
     void write_report(quota_claims_tick const& input, mono_time now);
     void write_status(mono_time now);
 
--- a/src/quota/quota_limiter.cpp
+++ b/src/quota/quota_limiter.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds longest_wait{60'000};
 /// Part of the tolerance by which buckets are enlarged; the rest is for minimum rates.
 constexpr double rounding_part = 0.75;
+/// Requests per second. A claim in proportion to the demand would refuse hosts of few requests
+/// every other one, as these do not come at even intervals.
+constexpr double sparse_rate = 0.5;
 
 double seconds_between(mono_time from, mono_time to)
 {
@@ -76,7 +79,7 @@
     double const share = entry.claim / entry.limit.rate;
     double const all = entry.limit.burst + rounding_part * tolerance_of(settings_, entry.limit);
     double enlarged = std::min(all * share, small_bucket);
-    if (entry.within_limit && entry.claim > 0) {
+    if (entry.within_limit) {
         enlarged = small_bucket;
     }
     else if (enlarged < whole_unit && rounds_up(entry.count.workspace, enlarged)) {
@@ -86,6 +89,12 @@
     entry.units = std::min(entry.units, entry.size);
 }
 
+/** @return units per second; hosts with little demand get some while it fits the limit. */
+double quota_limiter::refill_rate(bucket const& entry)
+{
+    return entry.within_limit ? std::max(entry.claim, sparse_rate) : entry.claim;
+}
+
 /** @return whether this host rounds @p part of a unit up, as that part of all hosts does. */
 bool quota_limiter::rounds_up(workspace_id const& workspace, double part) const
 {
@@ -100,7 +109,7 @@
         entry.peaks = {entry.units, adjacent ? entry.peaks[0] : entry.units};
         entry.period_start = now;
     }
-    double const added = seconds_between(entry.refilled, now) * entry.claim;
+    double const added = seconds_between(entry.refilled, now) * refill_rate(entry);
     entry.units = std::min(entry.size, entry.units + added);
     entry.peaks[0] = std::max(entry.peaks[0], entry.units);
     entry.refilled = std::max(entry.refilled, now);
@@ -127,7 +136,7 @@
         unit.returnable = true;
     }
     else if (entry.size >= whole_unit) {
-        unit = {false, false, to_wait((1 - entry.units) / entry.claim)};
+        unit = {false, false, to_wait((1 - entry.units) / refill_rate(entry))};
     }
     else {
         unit = take_minimum(entry, now);
--- a/src/quota/quota_limiter.h
+++ b/src/quota/quota_limiter.h
@@ -31,6 +31,8 @@
  * All buckets of a workspace together hold at most the burst and three quarters of the
  * tolerance: a small bucket is enlarged to at most two units and to its share of that sum. A host
  * whose bucket holds less than one unit admits requests at a minimum rate from the other quarter.
+ * While the demand of all hosts fits the limit, each bucket holds two units or more and gets one
+ * every two seconds.
  */
 class quota_limiter {
 public:
@@ -46,8 +48,8 @@
     /**
      * @param rate requests per second that this host may admit of the workspace, for at most
      * `claim_lifetime`: after a longer pause of this process other hosts may use its claim.
-     * @param within_limit whether all hosts together desire less than the limit. Each of them can
-     * then admit a first request.
+     * @param within_limit whether the demand of all hosts fits the limit. Each of them can then
+     * admit the requests of a client that comes now and then.
      */
     void set_claim(workspace_id const& workspace, double rate, bool within_limit, mono_time now);
 
@@ -98,6 +100,7 @@
     void resize(bucket& entry) const;
     [[nodiscard]] bool rounds_up(workspace_id const& workspace, double part) const;
     static void refill(bucket& entry, mono_time now);
+    [[nodiscard]] static double refill_rate(bucket const& entry);
     quota_unit take_minimum(bucket& entry, mono_time now) const;
     [[nodiscard]] milliseconds minimum_interval(bucket const& entry) const;
 
