--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -34,9 +34,10 @@
 /** Requests per second that hosts want or reserve of the quota of a workspace. */
 struct quota_demand {
     std::uint32_t workspace = 0; ///< short hash of its name; 0: about the sender
-    double rate = 0;             ///< requests per second; about the sender: 1 if it misses reports
-    int hosts = 0;               ///< 0: reserved, else desired; about the sender: 1 if complete
-    int zone_hosts = 0;          ///< about the sender, in the status of a zone: hosts of the zone
+    double rate =
+        0;         ///< requests per second; if `hosts` is 0, a part of the limit set apart, 0 to 1
+    int hosts = 0; ///< with a desired rate; about the sender: 1 if its sums are complete
+    int zone_hosts = 0; ///< about the sender, in the status of a zone: hosts of the zone
     bool operator==(quota_demand const&) const = default;
 };
 
--- a/src/quota/quota_claims.cpp
+++ b/src/quota/quota_claims.cpp
@@ -294,7 +294,7 @@
     std::erase_if(peers_, has_ended);
     std::erase_if(zones_, has_ended);
     for (auto& [name, peer] : peers_) {
-        // Only while it is heard: a silent host may still use what it has reserved.
+        // Only while it is heard: a silent host may still use its claim.
         mono_time const oldest = peer.heard - entry_lifetime;
         std::erase_if(peer.shares,
                       [oldest](auto const& item) { return item.second.refreshed < oldest; });
--- a/src/quota/quota_claims.h
+++ b/src/quota/quota_claims.h
@@ -31,7 +31,8 @@
  * For each workspace a host announces the rate that it desires. From the rates that they have
  * heard, all hosts derive the same division of the limit: in proportion to the desired rates, and
  * an even part for hosts that desire less than that. A claim falls at once and grows to the least
- * part of the last `increase_delay`, so that the others have heard of it and given way before.
+ * part of the last `increase_delay`, so that the others have received the demand and reduced theirs
+ * before.
  *
  * What a silent host or zone has claimed stays set apart for it, as it may only be cut off, and the
  * hosts that hear each other divide the rest. On either side of a cut the claims thus stay within
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -1,5 +1,6 @@
 #include "crowd/client_crowd.h"
 #include "crowd/crowd_host.h"
+#include "platform/wire_names.h"
 
 #include <gtest/gtest.h>
 
@@ -108,7 +109,7 @@
 TEST(crowd, clients_that_do_not_read)
 {
     std::string const get = std::string("GET /a/large HTTP/1.1\r\nHost: ") + crowd_host::host_name +
-                            "\r\nX-Attempt-Id: a\r\n\r\n";
+                            "\r\n" + wire::attempt_id_header + ": a\r\n\r\n";
     expect_withstands({.clients = 100, .head = get, .reads = false, .hold = milliseconds{4000}});
 }
 
