--- a/tests/platform/writer_test.cpp
+++ b/tests/platform/writer_test.cpp
@@ -36,7 +36,7 @@
     config.limits = {16'384, 100'000, milliseconds{3000}, milliseconds{15'000}};
     workspace_config farm{workspace_id("farm"), {"k1", "k2"}, 0, {region_id("east")}, {7.5, 20}};
     config.routes.front().is_public = true;
-    config.workspaces = {farm, {workspace_id("idle"), {}, std::nullopt, {}, {}}};
+    config.workspaces = {farm, {workspace_id("idle"), {"k3"}, std::nullopt, {}, {}}};
     auto const read = read_config_document(config_spec(config).dump());
     ASSERT_TRUE(read) << to_string(read.error());
     EXPECT_EQ(read->config.version, config.version);
