Reword comments of constants and of the attempts field

Cause: the reading of the whole change found comments that need a second reading. Change: comments, and the name of the constant for descriptors that are kept back.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -57,7 +57,7 @@
 /// Part of the memory that buffers may take, less what the process needs itself.
 constexpr std::uint64_t buffer_memory_divisor = 2;
 constexpr std::uint64_t min_buffer_divisor = 8; ///< buffers get at least this part of the memory
-constexpr std::uint64_t file_descriptors = 200; ///< of the process limit: files, other hosts
+constexpr std::uint64_t reserved_descriptors = 200; ///< for files and connections to other hosts
 /// A client gives up a host that has not read its request after a second; this is a warning before.
 constexpr milliseconds reported_delay{200};
 /// `loop_late` lines cover the work since the last note.
@@ -120,7 +120,8 @@
     auto descriptors = static_cast<std::uint64_t>(settings.max_descriptors);
     if (descriptors == 0) {
         ::getrlimit(RLIMIT_NOFILE, &limit);
-        descriptors = limit.rlim_cur - std::min<std::uint64_t>(limit.rlim_cur, file_descriptors);
+        descriptors =
+            limit.rlim_cur - std::min<std::uint64_t>(limit.rlim_cur, reserved_descriptors);
     }
     return std::max<std::uint64_t>(1, descriptors / 4 * 3);
 }
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -250,8 +250,8 @@
 
 /**
  * Removes the field with the attempts left from a relayed request.
- * @return nullopt if there is none, as from hosts of older builds; 0, so that the request is
- * refused as not run, if it is not a number.
+ * @return nullopt if the field is absent, as hosts of earlier versions do not send it; 0 if it is
+ * not a number, so that the request is refused as not run.
  */
 std::optional<int> request_forwarder::take_attempts_left(http_request& request)
 {
--- a/src/quota/quota_claims.cpp
+++ b/src/quota/quota_claims.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds refresh_interval{2000};
 /// Entries that are not refreshed for this long, ten times the interval, have ended.
 constexpr milliseconds entry_lifetime{20'000};
-constexpr double headroom = 1.25;      ///< of the desired rate over the demand
+constexpr double headroom = 1.25;      ///< ratio of the desired rate to the demand
 constexpr double demand_change = 0.15; ///< relative; smaller ones are not announced
 constexpr double least_demand = 0.01;  ///< requests per second; less is none
 /// Part of a limit that is divided evenly, so that each host can admit first requests.
--- a/tests/workspace/gate_test.cpp
+++ b/tests/workspace/gate_test.cpp
@@ -87,7 +87,7 @@
     EXPECT_EQ(decide({"Token no"}, true, true).outcome, admission::admitted);
 }
 
-// Guards against a relayed request that runs on the word of the host that relays it.
+// Guards against a relayed request that runs without this host checking its key.
 TEST_F(gate_case, a_relayed_request_is_decided_again)
 {
     EXPECT_EQ(relayed("a", "ka", 5), admission::admitted);
