--- a/review/stand-2/wire.cpp
+++ b/review/stand-2/wire.cpp
@@ -184,8 +184,8 @@
     std::optional<message> out;
     std::size_t body = 0;
     while (true) {
-        auto const end = unread_.find("\r\n\r\n");
-        if (!out && end != std::string::npos) {
+        auto const end = out ? std::string::npos : unread_.find("\r\n\r\n");
+        if (end != std::string::npos) {
             out = parse_head(unread_.substr(0, end));
             unread_.erase(0, end + 4);
             body = static_cast<std::size_t>(std::atol(out->field("Content-Length").c_str()));
