--- a/review/stand-2/crowd.cpp
+++ b/review/stand-2/crowd.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int rounds = 3;
+constexpr int rounds = 5;
 constexpr long memory_kb = 260L * 1024; ///< memory_mb of the settings
 constexpr long start_delay_ms = 500;    ///< of the platform, before it starts a process again
 constexpr long round_ms = 9000;
--- a/review/stand-2/crowd.h
+++ b/review/stand-2/crowd.h
@@ -12,7 +12,7 @@
 using crowd_round = std::function<void(entry_host const& host, int round, record& notes)>;
 
 /**
- * Runs three rounds of @p crowd while clients send short orders.
+ * Runs five rounds of @p crowd while clients send short orders.
  * @param work_ms of the servers for an order.
  * @return the exit code of the case: whether both processes ended three times.
  */
--- a/review/stand-2/upload_crowd.cpp
+++ b/review/stand-2/upload_crowd.cpp
@@ -6,7 +6,7 @@
 
 using namespace stand;
 
-constexpr int long_orders = 6; ///< at each host, never two at a time
+constexpr int long_orders = 10; ///< at each host, never two at a time
 constexpr long leave_after_ms = 100;
 constexpr long work_ms = 1500;
 
