Count a response without length as whole only if its connection ended soundly

Seen by clients: a target answered a long upload at once with 200 and no length, sent part of its body and reset the connection while the upload was still being written. The client got the part as the whole answer. Cause: the error of the write was dropped. Linux reports a reset once, to the call that notices it first; if that is the write, the read then sees an ordinary end of the stream, which ends such a body. Change: a response that ends with the connection is broken unless the request was written completely without an error and the socket has no error pending. It counts as a lost connection, so the target is probed as after any other one. Why it works: an error that the write consumed, or a write that never ended, is remembered; one that nobody consumed is read by the read or found pending. Lengths and chunks need no sound end (RFC 9112, 6.3).

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -34,6 +35,14 @@
     static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
 }
 
+/** @return the error that @p socket has not reported yet, as errno; 0 if there is none. */
+int pending_error(int socket)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    return ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
+}
+
 /** @return whether the header is there with a status that no response has. */
 bool has_invalid_status(http::response_parser<http::string_body> const& parser)
 {
@@ -140,7 +149,7 @@
     sending_ = true;
     http::async_write(socket_, request_,
                       [self = shared_from_this()](error_code error, std::size_t) {
-                          // The read reports a failed write; an early response may still arrive.
+                          // A failed write ends nothing: an early response may still arrive.
                           self->sent_ = !error;
                       });
     read();
@@ -224,6 +233,15 @@
     }
 }
 
+/**
+ * @return whether the end of the stream is one that the peer intended. A reset is reported once, by
+ * the call that notices it first: if that was the write, the read sees an ordinary end.
+ */
+bool exchange_connection::ended_soundly()
+{
+    return sent_ && pending_error(socket_.native_handle()) == 0;
+}
+
 void exchange_connection::on_response(error_code error)
 {
     if (error) {
@@ -233,6 +251,13 @@
         finish({exchange_outcome::broken, {}, error.message(), cut_short || !invalid});
         return;
     }
+    if (parser_->need_eof() && !ended_soundly()) {
+        finish({exchange_outcome::broken,
+                {},
+                "the connection broke in a response without length",
+                true});
+        return;
+    }
     bool const keep_alive = parser_->get().keep_alive();
     http_response response = parser_->release();
     if (response.result_int() < first_final_status) {
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -124,6 +124,7 @@
     void read();
     void read_some();
     void on_response(boost::system::error_code error);
+    bool ended_soundly();
     void account_for_received();
     void give_up_response();
     void release_memory();
@@ -146,7 +147,7 @@
     bool gives_up_ = false; ///< the response ends as broken, as its memory is needed
     bool sending_ = false;  ///< a request is in progress and was at least begun to be written
     bool connected_ = false;
-    bool sent_ = false;     ///< the request was written completely
+    bool sent_ = false;     ///< the request was written completely, without an error
     bool reusable_ = false; ///< the last response leaves the connection fit for another request
     bool closed_ = false;
     std::optional<seconds> keep_alive_;
--- a/tests/host/faulty_answer_test.cpp
+++ b/tests/host/faulty_answer_test.cpp
@@ -247,5 +247,26 @@
                     connection_action::reset, false}),
     [](auto const& info) { return info.param.name; });
 
+class early_answers : public faulty_answers, public testing::WithParamInterface<bool> {};
+
+// MIXED: the part of such an answer that had arrived was passed on as the whole of it.
+TEST_P(early_answers, to_a_long_upload_are_lost_if_the_connection_breaks)
+{
+    constexpr std::size_t upload = 6 << 20; // bytes; more than the socket buffers hold
+    scripted_server target(loop, [](std::string const&) {
+        return scripted_answer{until_close, connection_action::reset, milliseconds{20}};
+    });
+    list({&target});
+    config_document document = desk_config(1, "/a/", GetParam());
+    document.config.limits.body_bytes = upload;
+    store.config(document);
+    exchange_result const got = ask(client_address, "/a/1", std::string(upload, 'x'));
+    EXPECT_EQ(got.response.result_int(), 502U) << got.response.body(); // it may have run
+    EXPECT_EQ(target.request_heads.size(), GetParam() ? 2U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases, early_answers, testing::Bool(),
+                         [](auto const& info) { return info.param ? "idempotent" : "once_only"; });
+
 } // namespace
 } // namespace cove
--- /dev/null
+++ b/tests/http/exchange_test.cpp
@@ -0,0 +1,93 @@
+/** @file Responses of faulty servers, as the client side of a connection sees them. */
+
+#include "http/exchange.h"
+#include "support/scripted_server.h"
+
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+constexpr std::size_t long_upload = 16 << 20; ///< bytes; more than the socket buffers hold
+constexpr std::size_t short_upload = 100;     ///< bytes; the server reads them with the header
+
+/** Sends a request with a body of @p size bytes and waits for the result. */
+exchange_result upload(boost::asio::io_context& loop, scripted_server const& server,
+                       std::size_t size)
+{
+    http_request request(boost::beast::http::verb::put, "/a/1", http_version);
+    request.body().assign(size, 'x');
+    request.prepare_payload();
+    auto const connection =
+        std::make_shared<exchange_connection>(loop, server.endpoint(), exchange_limits{});
+    std::optional<exchange_result> got;
+    connection->exchange(std::move(request), nullptr,
+                         [&](exchange_result result) { got = std::move(result); });
+    EXPECT_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    connection->close();
+    return got.value_or(exchange_result{});
+}
+
+std::string const until_close = "HTTP/1.1 200 OK\r\n\r\nbody";
+std::string const with_length = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+std::string const in_chunks =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+
+struct early_case {
+    char const* name;
+    std::string response; ///< sent as soon as the header of the request has been read
+    connection_action then;
+    std::size_t upload;
+    exchange_outcome expected;
+};
+
+class early_responses : public testing::TestWithParam<std::tuple<early_case, milliseconds>> {};
+
+// MIXED: a response without length that was reset while the request was still being written was
+// taken as whole, because the write had consumed the error of the socket.
+TEST_P(early_responses, are_whole_only_if_their_end_is_sound)
+{
+    early_case const& with = std::get<0>(GetParam());
+    milliseconds const pause = std::get<1>(GetParam());
+    boost::asio::io_context loop;
+    scripted_server server(loop, [&](std::string const&) {
+        return scripted_answer{with.response, with.then, pause};
+    });
+    exchange_result const got = upload(loop, server, with.upload);
+    ASSERT_EQ(got.outcome, with.expected) << got.detail << " " << got.response.body();
+    if (with.expected == exchange_outcome::answered) {
+        EXPECT_EQ(got.response.body(), "body");
+    }
+    else {
+        EXPECT_TRUE(got.connection_lost) << got.detail;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, early_responses,
+    testing::Combine(
+        testing::Values(
+            early_case{"until_close_reset", until_close, connection_action::reset, long_upload,
+                       exchange_outcome::broken},
+            early_case{"until_close_closed_unread", until_close, connection_action::close,
+                       long_upload, exchange_outcome::broken},
+            early_case{"until_close_reset_after_the_upload", until_close, connection_action::reset,
+                       short_upload, exchange_outcome::broken},
+            early_case{"until_close_closed_after_the_upload", until_close, connection_action::close,
+                       short_upload, exchange_outcome::answered},
+            early_case{"with_length_reset", with_length, connection_action::reset, long_upload,
+                       exchange_outcome::answered},
+            early_case{"half_of_length_reset", with_length.substr(0, with_length.size() - 2),
+                       connection_action::reset, long_upload, exchange_outcome::broken},
+            early_case{"in_chunks_reset", in_chunks, connection_action::reset, long_upload,
+                       exchange_outcome::answered},
+            early_case{"half_of_chunks_reset", in_chunks.substr(0, in_chunks.size() - 7),
+                       connection_action::reset, long_upload, exchange_outcome::broken}),
+        testing::Values(milliseconds{0}, milliseconds{1}, milliseconds{20}, milliseconds{100})),
+    [](auto const& info) {
+        return std::string(std::get<0>(info.param).name) + "_after_" +
+               std::to_string(std::get<1>(info.param).count()) + "_ms";
+    });
+
+} // namespace
+} // namespace cove
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
@@ -24,6 +25,7 @@
 struct scripted_answer {
     std::string bytes;
     connection_action then = connection_action::keep;
+    milliseconds pause{0}; ///< between the bytes and the action
 };
 
 /** Answers each request head with the result of a callback. */
@@ -65,7 +67,7 @@
 private:
     struct session : std::enable_shared_from_this<session> {
         session(scripted_server& owner, boost::asio::ip::tcp::socket peer)
-            : server(owner), socket(std::move(peer))
+            : server(owner), socket(std::move(peer)), timer(owner.loop_)
         {
         }
 
@@ -91,22 +93,34 @@
             bytes = std::move(response.bytes);
             boost::asio::async_write(
                 socket, boost::asio::buffer(bytes),
-                [self = shared_from_this(), then = response.then](boost::system::error_code,
-                                                                  std::size_t) {
-                    if (then == connection_action::keep) {
-                        self->read();
+                [self = shared_from_this(), then = response.then,
+                 pause = response.pause](boost::system::error_code, std::size_t) {
+                    if (pause == milliseconds{0}) {
+                        self->act(then);
                         return;
                     }
-                    if (then == connection_action::reset) {
-                        self->socket.set_option(boost::asio::socket_base::linger(true, 0));
-                    }
-                    self->socket.close();
+                    self->timer.expires_after(pause);
+                    self->timer.async_wait(
+                        [self, then](boost::system::error_code) { self->act(then); });
                 });
         }
 
+        void act(connection_action then)
+        {
+            if (then == connection_action::keep) {
+                read();
+                return;
+            }
+            if (then == connection_action::reset) {
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+            }
+            socket.close();
+        }
+
         scripted_server& server;
         boost::asio::ip::tcp::socket socket;
         boost::asio::streambuf buffer;
+        boost::asio::steady_timer timer;
         std::string bytes;
     };
 
