Refuse responses with a header line that begins with a blank

Seen by clients (reported of other systems, found here by a test): a target in trouble wrote a name of a field with a blank before it. The client got the answer with the field before that line changed; if the line held the length, it got bytes that were not of the body. Cause: the parser takes a line that begins with a blank for the continuation of the field before it. Change: the connection reads by itself, so that each byte of a header is seen before it is parsed; a line that begins with a blank makes the response invalid. Why it works: RFC 9112, 5.2 lets a receiver refuse such a message; the connection is closed, so nothing of it can be taken for another response.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr std::size_t max_read_bytes = 65'536; ///< of one call
 /// A shorter response is not counted; most are.
 constexpr std::uint64_t uncounted_bytes = 16'384;
 /// A body that grows takes up to twice its bytes, and they are copied meanwhile.
@@ -163,37 +164,91 @@
     if (request_.method() == http::verb::head) {
         parser_->skip(true);
     }
-    read_some();
+    folded_lines_ = {};
+    if (buffer_.size() == 0) {
+        read_some();
+        return;
+    }
+    // In the next turn of the loop, as there may be many short responses to other requests.
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this()] { self->process({}, self->buffer_.size()); });
 }
 
-/** Reads until the response is complete; limits all of its bytes, framing and trailers included. */
+/** Reads more bytes of the response. */
 void exchange_connection::read_some()
 {
-    http::async_read_some(socket_, buffer_, *parser_,
-                          [self = shared_from_this()](error_code error, std::size_t size) {
-                              if (self->closed_) {
-                                  return;
-                              }
-                              self->received_ += size;
-                              self->last_received_ = read_clocks().mono;
-                              self->account_for_received();
-                              if (self->closed_) {
-                                  return; // too many bytes of all responses together
-                              }
-                              if (!error && self->received_ > self->limits_.header_bytes +
-                                                                  self->limits_.body_bytes) {
-                                  error = http::error::body_limit;
-                              }
-                              if (has_invalid_status(*self->parser_)) {
-                                  self->finish({exchange_outcome::broken, {}, "invalid status"});
-                                  return;
-                              }
-                              if (!error && !self->parser_->is_done()) {
-                                  self->read_some();
-                                  return;
-                              }
-                              self->on_response(error);
-                          });
+    auto const size = boost::beast::read_size(buffer_, max_read_bytes);
+    socket_.async_read_some(buffer_.prepare(size),
+                            [self = shared_from_this()](error_code error, std::size_t got) {
+                                if (!self->closed_) {
+                                    self->count_received(got);
+                                    self->process(error, got);
+                                }
+                            });
+}
+
+void exchange_connection::count_received(std::size_t size)
+{
+    buffer_.commit(size);
+    received_ += size;
+    last_received_ = read_clocks().mono;
+    account_for_received();
+}
+
+/**
+ * Takes the result of a read; limits all bytes of a response, framing and trailers included.
+ * @param added number of bytes at the end of the buffer that the response has not taken yet.
+ */
+void exchange_connection::process(error_code error, std::size_t added)
+{
+    if (closed_) {
+        return; // too many bytes of all responses together
+    }
+    if (!error && received_ > limits_.header_bytes + limits_.body_bytes) {
+        error = http::error::body_limit;
+    }
+    if (!error) {
+        error = parse(added);
+    }
+    else if (error == boost::asio::error::eof) {
+        error = end_of_stream();
+    }
+    if (has_invalid_status(*parser_)) {
+        finish({exchange_outcome::broken, {}, "invalid status"});
+        return;
+    }
+    if (!error && !parser_->is_done()) {
+        read_some();
+        return;
+    }
+    on_response(error);
+}
+
+/** Parses what has been received. @return why it is no response; none if it may become one. */
+error_code exchange_connection::parse(std::size_t added)
+{
+    std::string_view const bytes(static_cast<char const*>(buffer_.data().data()), buffer_.size());
+    if (folded_lines_.take(bytes.substr(bytes.size() - added))) {
+        return http::error::bad_field;
+    }
+    error_code error;
+    while (!error && buffer_.size() > 0 && !parser_->is_done()) {
+        buffer_.consume(parser_->put(buffer_.data(), error));
+    }
+    if (error == http::error::need_more) {
+        error = buffer_.size() < buffer_.max_size() ? error_code() : http::error::buffer_overflow;
+    }
+    return error;
+}
+
+/** Ends the response with the stream. @return why it is not complete. */
+error_code exchange_connection::end_of_stream()
+{
+    error_code error = http::error::end_of_stream;
+    if (parser_->got_some()) {
+        parser_->put_eof(error);
+    }
+    return error;
 }
 
 /** Counts the bytes of the response; a response that takes too much ends as broken. */
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -2,6 +2,7 @@
 /** @file Client side of one HTTP connection that carries one request at a time. */
 
 #include "core/time_type.h"
+#include "http/folded_line.h"
 #include "http/http_type.h"
 #include "http/memory_budget.h"
 
@@ -123,6 +124,10 @@
     void send();
     void read();
     void read_some();
+    void count_received(std::size_t size);
+    void process(boost::system::error_code error, std::size_t added);
+    boost::system::error_code parse(std::size_t added);
+    boost::system::error_code end_of_stream();
     void on_response(boost::system::error_code error);
     bool ended_soundly();
     void account_for_received();
@@ -139,6 +144,7 @@
     mono_time last_received_{};
     std::optional<memory_budget::holder> held_; ///< account of the response under way
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    folded_line_finder folded_lines_;   ///< in the header of the response under way
     std::shared_ptr<std::string> body_; ///< of the request
     boost::beast::http::request<boost::beast::http::span_body<char>> request_;
     response_matcher match_;
--- a/tests/host/faulty_answer_test.cpp
+++ b/tests/host/faulty_answer_test.cpp
@@ -247,6 +247,43 @@
                     connection_action::reset, false}),
     [](auto const& info) { return info.param.name; });
 
+struct invalid_case {
+    char const* name;
+    std::string answer;
+};
+
+class invalid_answers : public faulty_answers, public testing::WithParamInterface<invalid_case> {};
+
+// MIXED: such an answer reached the client, with the odd line or with another body.
+TEST_P(invalid_answers, are_lost_and_spoil_no_other)
+{
+    std::string answer = GetParam().answer;
+    scripted_server target(loop, [&](std::string const&) { return scripted_answer{answer}; });
+    list({&target});
+    configure(1, "/a/");
+    auto const got = ask(client_address, "/a/1");
+    EXPECT_EQ(got.response.result_int(), 502U) << got.response.body(); // it may have run
+    EXPECT_EQ(got.response.count("Signature"), 0U);
+    answer = served;
+    EXPECT_EQ(ask(client_address, "/a/2").response.body(), "whole body");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, invalid_answers,
+    testing::Values(
+        invalid_case{"status_000",
+                     response("000 Odd", "Attempt: a1\r\nSignature: s\r\n", "odd body")},
+        invalid_case{"blank_in_name",
+                     response("200 OK", "Attempt: a1\r\nSignature: s\r\nOdd Name: x\r\n", "odd")},
+        invalid_case{"control_byte_in_name",
+                     response("200 OK", "Attempt: a1\r\nSignature: s\r\nOdd\x01: x\r\n", "odd")},
+        invalid_case{"blank_before_name",
+                     response("200 OK", "Attempt: a1\r\nSignature: s\r\n Odd: x\r\n", "odd")},
+        invalid_case{"blank_before_length",
+                     "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n Content-Length: 3\r\n"
+                     "Connection: close\r\n\r\nodd and more"}),
+    [](auto const& info) { return info.param.name; });
+
 class early_answers : public faulty_answers, public testing::WithParamInterface<bool> {};
 
 // MIXED: the part of such an answer that had arrived was passed on as the whole of it.
