Encode names of objects in the paths and queries of calls to the store

Seen by callers: an entry of another writer stood in the list of targets under a name with &, +, #, % or a blank, and the list was longer than one page. Cause: a list goes on after the last name of a page, and that name was put into the query as it was. The store read another name or refused the request, so the same page came again without end, or the list failed. A host that starts knows no target before it has a whole list. Change: percent_encode (RFC 3986, 2.1) for the query of a list and the path of an object. The stand-in store has pages and reads requests as servers do. Why it works: the store decodes what was encoded and finds the same name, whatever its bytes are. Names in the paths of the project's own store are constants, hashes and numbers; they need no encoding.

--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,6 +1,7 @@
 #include "core/deflate_func.h"
 #include "core/hash_func.h"
 #include "core/timer_service.h"
+#include "core/uri_func.h"
 
 #include <future>
 #include <gtest/gtest.h>
@@ -19,6 +20,14 @@
     EXPECT_NE(cove::stable_hash("a", 1), cove::stable_hash("a", 2));
 }
 
+// Guards against a name that ends the query, adds to it or is read as another name.
+TEST(uri, percent_encode_leaves_only_unreserved_characters)
+{
+    EXPECT_EQ(cove::percent_encode("Az09-._~"), "Az09-._~");
+    EXPECT_EQ(cove::percent_encode("&+#% /?="), "%26%2B%23%25%20%2F%3F%3D");
+    EXPECT_EQ(cove::percent_encode(std::string("\0\r\n\x7f\xc3\xa9", 6)), "%00%0D%0A%7F%C3%A9");
+}
+
 TEST(timer_service, calls_in_order_of_time)
 {
     std::promise<void> last;
--- a/tests/support/returning_store.h
+++ b/tests/support/returning_store.h
@@ -9,9 +9,42 @@
 
 namespace cove {
 
+/** @return @p text from a path or query with its percent-encoded bytes decoded. */
+inline std::string percent_decoded(std::string const& text)
+{
+    std::string out;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            out += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+        }
+        else {
+            out += text[i];
+        }
+    }
+    return out;
+}
+
+/** @return the decoded value of @p key in the query of @p target; a plus sign there is a blank. */
+inline std::string query_value(std::string const& target, std::string const& key)
+{
+    std::string const query = target.find('?') == std::string::npos
+                                  ? ""
+                                  : "&" + target.substr(target.find('?') + 1) + "&";
+    auto const at = query.find("&" + key + "=");
+    if (at == std::string::npos) {
+        return "";
+    }
+    auto const begin = at + key.size() + 2;
+    std::string value = query.substr(begin, query.find('&', begin) - begin);
+    std::replace(value.begin(), value.end(), '+', ' ');
+    return percent_decoded(value);
+}
+
 /**
  * Speaks the platform's protocol for lists, watches, creations and replacements. A watch returns at
- * once, also without events.
+ * once, also without events. Reads a request as servers do: a fragment is dropped, a request line
+ * with further blanks is refused.
  */
 class returning_store {
 public:
@@ -55,7 +88,8 @@
     }
 
     int era = 1;
-    int lists = 0;
+    int lists = 0;                  ///< pages of lists served
+    std::size_t page_items = 1'000; ///< objects on one page of a list
 
 private:
     struct event {
@@ -92,13 +126,17 @@
 
     std::string answer(std::string const& head)
     {
-        std::string const target =
-            head.substr(head.find(' ') + 1, head.find(" HTTP") - head.find(' ') - 1);
+        std::string const line = head.substr(0, head.find("\r\n"));
+        if (std::count(line.begin(), line.end(), ' ') != 2) {
+            return respond(400, nlohmann::json::object());
+        }
+        std::string const target = line.substr(
+            line.find(' ') + 1, line.find_first_of(" #", line.find(' ') + 1) - line.find(' ') - 1);
         std::string const path = target.substr(0, target.find('?'));
         std::string kind = path.substr(std::string("/sycamorecove/objects/").size());
         std::string name;
         if (auto const slash = kind.find('/'); slash != std::string::npos) {
-            name = kind.substr(slash + 1);
+            name = percent_decoded(kind.substr(slash + 1));
             kind.resize(slash);
         }
         if (away_) {
@@ -111,22 +149,23 @@
         if (head.starts_with("PUT")) {
             return respond(has(kind, name) ? 200 : 404, nlohmann::json::object());
         }
-        auto const watch = target.find("watch=");
-        return watch == std::string::npos
-                   ? list(kind)
-                   : events_since(kind,
-                                  std::stoull(target.substr(watch + std::string("watch=").size())));
+        std::string const watch = query_value(target, "watch");
+        return watch.empty() ? list(kind, query_value(target, "after"))
+                             : events_since(kind, std::stoull(watch));
     }
 
-    std::string list(std::string const& kind)
+    std::string list(std::string const& kind, std::string const& after)
     {
         ++lists;
+        auto const& objects = state_.objects[kind];
+        auto next = after.empty() ? objects.begin() : objects.upper_bound(after);
         nlohmann::json items = nlohmann::json::array();
-        for (auto const& [name, spec] : state_.objects[kind]) {
-            items.push_back(object(name, spec));
+        for (; next != objects.end() && items.size() < page_items; ++next) {
+            items.push_back(object(next->first, next->second));
         }
-        return respond(
-            200, {{"items", items}, {"has_more", false}, {"store_revision", state_.revision}});
+        return respond(200, {{"items", items},
+                             {"has_more", next != objects.end()},
+                             {"store_revision", state_.revision}});
     }
 
     std::string events_since(std::string const& kind, std::uint64_t from)
