--- a/tests/platform/paged_list_test.cpp
+++ b/tests/platform/paged_list_test.cpp
@@ -39,5 +39,54 @@
     EXPECT_EQ(listed, 0);
 }
 
+struct endless_list_case {
+    char const* name;
+    std::vector<std::string> pages; ///< items of the pages, which are served in turn
+};
+
+class endless_lists : public testing::TestWithParam<endless_list_case> {};
+
+// A list that came back to the same page was read on without a pause, each call being charged.
+TEST_P(endless_lists, end_with_an_error)
+{
+    auto const& pages = GetParam().pages;
+    constexpr std::size_t tolerated_rounds = 2;
+    boost::asio::io_context loop;
+    loop_timers timers(loop);
+    std::size_t calls = 0;
+    scripted_server store(loop, [&](std::string const&) {
+        std::string const body = R"({"items":[)" + pages[calls++ % pages.size()] +
+                                 R"(],"has_more":true,"store_revision":10})";
+        return scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                               "\r\n\r\n" + body};
+    });
+    int listed = 0;
+    store_hooks hooks;
+    hooks.malformed = [](std::string const&, std::string const&) {};
+    hooks.evacuations_listed = [&](evacuation_snapshot const&) { ++listed; };
+    store_client client(loop, timers, store.address(), hooks);
+    std::optional<follow_result> ended;
+    client.calls().evacuations.list(read_freshness::current,
+                                    [&](follow_result const& got) { ended = got; });
+    run_until(loop, [&] { return ended.has_value() || calls > tolerated_rounds * pages.size(); });
+    ASSERT_TRUE(ended.has_value()) << calls;
+    EXPECT_EQ(ended->status, follow_status::failed);
+    EXPECT_LE(calls, tolerated_rounds * pages.size());
+    EXPECT_EQ(listed, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, endless_lists,
+    testing::Values(endless_list_case{"the_same_page", {R"({"metadata":{"name":"a"}})"}},
+                    endless_list_case{
+                        "two_pages",
+                        {R"({"metadata":{"name":"a"}})", R"({"metadata":{"name":"b"}})"}},
+                    endless_list_case{"the_same_end",
+                                      {R"({"metadata":{"name":"a"}},{"metadata":{"name":"b"}})",
+                                       R"({"metadata":{"name":"b"}})"}},
+                    endless_list_case{"odd_entries", {R"({"metadata":{"name":"&"},"spec":7})"}},
+                    endless_list_case{"no_name", {R"({"metadata":{"name":7}},{"spec":{}},null)"}}),
+    [](auto const& info) { return info.param.name; });
+
 } // namespace
 } // namespace cove
