Leave out targets and workspaces whose names are no field values

Seen: no caller yet; found while looking for the cause of the odd names elsewhere. The id of a target goes into a header field of each request to it, the name of a workspace into one of each of its requests. Cause: names were taken as they stood. One with a line break ends the field and adds another to the request; one with blanks at its ends arrives as another id, which the target refuses. Change: such an entry is malformed and left out, with the place of the error. Why it works: what is left arrives at the target as it was sent (RFC 9110, 5.5).

--- a/tests/platform/odd_name_test.cpp
+++ b/tests/platform/odd_name_test.cpp
@@ -31,7 +31,7 @@
         out.config = [this](config_document const& got) { config = got.config.version; };
         out.hosts_listed = [this](std::vector<host_record> const& got) { hosts = got; };
         out.era_began = [](store_era) {};
-        out.malformed = [](std::string const&, std::string const&) {};
+        out.malformed = [this](std::string const&, std::string const&) { ++malformed; };
         return out;
     }
 
@@ -72,6 +72,7 @@
     std::set<zone_id> zones;
     generation config;
     std::vector<host_record> hosts;
+    int malformed = 0;
 };
 
 // RECOVER: while such an entry ended a page, the list of targets was never complete.
@@ -126,6 +127,22 @@
     EXPECT_EQ(hosts[0].name, node_id("h2"));
 }
 
+// The id of a target goes into a header field of each request to it; these would end the field or
+// arrive as another id.
+TEST_P(odd_names_case, that_are_no_field_values_name_no_target)
+{
+    std::vector<std::string> const names{"i\r\nX: y", "i\n", "i\t",   "\ti",
+                                         " i",        "i ",  "i\x7f", std::string("i\0", 2)};
+    for (std::string const& name : names) {
+        store.put("servers", name, target("10.0.0.1:80"));
+    }
+    store.put("servers", "i-1", target("10.0.0.1:80"));
+    EXPECT_TRUE(list(client.calls().targets, read_freshness::current, names.size() + 1));
+    ASSERT_EQ(targets.size(), 1U);
+    EXPECT_EQ(targets[0].id, target_id("i-1"));
+    EXPECT_EQ(malformed, static_cast<int>(names.size()));
+}
+
 INSTANTIATE_TEST_SUITE_P(items_on_a_page, odd_names_case, testing::Values(1, 2, 3, 1'000));
 
 // The path that names an object holds its name as well.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -235,6 +235,10 @@
     testing::Values(
         odd_workspace{"no_name", nullptr, json::object(), "resources/4/metadata/name"},
         odd_workspace{"empty_name", "", json::object(), "resources/4/metadata/name"},
+        odd_workspace{"name_with_control", "a\r\nX: y", json::object(),
+                      "resources/4/metadata/name"},
+        odd_workspace{"name_with_blank_at_its_end", "a ", json::object(),
+                      "resources/4/metadata/name"},
         odd_workspace{"no_keys", "a", {{"api_keys", nullptr}}, "resources/4/spec/api_keys"},
         odd_workspace{
             "empty_keys", "a", {{"api_keys", json::array()}}, "resources/4/spec/api_keys"},
