Leave out records of hosts whose address is not an IP

Seen: no caller yet; found while looking for the cause of the odd names elsewhere. Cause: the ip of a record was taken as it stood and handed to ZeroMQ, which takes names too. One record of another writer with a name makes the thread that sends to all other hosts look it up. Evidence: before the change records_of_hosts_without_an_ip_are_left_out failed with pages of 1, 2, 3 and 1000 objects; strace of a socket connected to tcp://name.invalid:7000 shows the name accepted and looked up by ZeroMQ's own thread. Change: a record without an IP is malformed. An address with a null byte is no IP any more. Why it works: ZeroMQ gets nothing that has to be looked up.

--- a/src/core/address.cpp
+++ b/src/core/address.cpp
@@ -9,15 +9,16 @@
 
 constexpr int max_port = 65535;
 
+} // namespace
+
 bool is_ip_address(std::string const& text)
 {
     in6_addr buffer{};
-    return inet_pton(AF_INET, text.c_str(), &buffer) == 1 ||
-           inet_pton(AF_INET6, text.c_str(), &buffer) == 1;
+    bool const has_null = text.find('\0') != std::string::npos; // would end the text for inet_pton
+    return !has_null && (inet_pton(AF_INET, text.c_str(), &buffer) == 1 ||
+                         inet_pton(AF_INET6, text.c_str(), &buffer) == 1);
 }
 
-} // namespace
-
 result<address> parse_address(std::string_view text)
 {
     auto const colon = text.rfind(':');
--- a/tests/platform/odd_name_test.cpp
+++ b/tests/platform/odd_name_test.cpp
@@ -143,6 +143,24 @@
     EXPECT_EQ(malformed, static_cast<int>(names.size()));
 }
 
+// A name in place of an IP would be looked up by the thread that sends to all other hosts.
+TEST_P(odd_names_case, records_of_hosts_without_an_ip_are_left_out)
+{
+    std::vector<std::string> const odd_ips{
+        "example.com", "10.0.0.2:80", "10.0.0.2 ",     "*",
+        "10.0.0",      "10.0.0.2\n",  "eth0;10.0.0.2", std::string("10.0.0.2\0x", 10)};
+    for (std::string const& ip : odd_ips) {
+        store.put("entry-hosts", "a " + ip, {{"zone", "east"}, {"ip", ip}});
+    }
+    store.put("entry-hosts", "h2", {{"zone", "east"}, {"ip", "10.0.0.2"}});
+    std::optional<bool> listed;
+    client.calls().list_hosts([&](bool done) { listed = done; });
+    ASSERT_TRUE(run_until(loop, [&] { return listed.has_value(); }));
+    ASSERT_EQ(hosts.size(), 1U);
+    EXPECT_EQ(hosts[0].name, node_id("h2"));
+    EXPECT_EQ(malformed, static_cast<int>(odd_ips.size()));
+}
+
 INSTANTIATE_TEST_SUITE_P(items_on_a_page, odd_names_case, testing::Values(1, 2, 3, 1'000));
 
 // The path that names an object holds its name as well.
