Keep control characters of values out of the log

Seen: no caller yet; found while looking for the cause of the odd names elsewhere. Names of entries of other writers stand in lines such as malformed_object. Cause: only line feeds were replaced; a carriage return or an escape sequence ended the line for some readers or hid a part of it on a terminal. Change: each control character becomes a blank, and such a value is quoted.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,5 +1,6 @@
 #include "log/log_func.h"
 
+#include <algorithm>
 #include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP // NOLINT
@@ -9,9 +10,17 @@
 
     namespace {
 
+    bool is_control(char c)
+    {
+        constexpr unsigned char del = 0x7f;
+        auto const value = static_cast<unsigned char>(c);
+        return value < ' ' || value == del;
+    }
+
     std::string quoted(std::string const& value)
     {
-        if (!value.empty() && value.find_first_of(" =\"\n") == std::string::npos) {
+        bool const has_control = std::any_of(value.begin(), value.end(), is_control);
+        if (!value.empty() && !has_control && value.find_first_of(" =\"") == std::string::npos) {
             return value;
         }
         std::string out = "\"";
@@ -19,7 +28,7 @@
             if (c == '"' || c == '\\') {
                 out += '\\';
             }
-            out += c == '\n' ? ' ' : c;
+            out += is_control(c) ? ' ' : c;
         }
         return out + "\"";
     }
