Take no answer with an invalid status or name of a field from the target of cove-entry

Seen by callers of the product's own interface (reported of other systems): a target in trouble answered with the status 000, and the caller got a connection without a readable answer; with a blank or a control byte in the name of the length's field, the caller got bytes that were not of the body, as done. Cause: the client library checks neither the status nor the names of fields, and nor did we. Evidence: outcome_depends_on_how_the_target_responds failed at the status 000, and with that mended at three cases of names (blank in it, blank before it, control byte). Change: an answer with a status outside of 200 to 599 or a name that is no token counts as broken. Why it works: the outcome is unknown then, as after any answer that is not whole, and nothing of it is passed on. A reset in a body without length was handled already; the case stays.

--- a/src/entry/target_pool.cpp
+++ b/src/entry/target_pool.cpp
@@ -1,9 +1,11 @@
 #include "entry/target_pool.h"
 
 #include "core/address.h"
+#include "http/field_value.h"
 #include "net/caller_api.h"
 #include "net/threaded_http_server.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <optional>
 #include <thread>
@@ -12,6 +14,17 @@
 
 namespace {
 
+constexpr int first_final_status = 200;
+constexpr int last_status = 599; ///< RFC 9110, 15: others are invalid
+
+/** @return whether @p response is one; the client library checks neither status nor names. */
+bool is_valid(httplib::Response const& response)
+{
+    return response.status >= first_final_status && response.status <= last_status &&
+           std::all_of(response.headers.begin(), response.headers.end(),
+                       [](auto const& field) { return is_field_name(field.first); });
+}
+
 bool failed_before_sending(httplib::Error error)
 {
     return error == httplib::Error::Connection || error == httplib::Error::BindIPAddress ||
@@ -28,6 +41,11 @@
         out.error = httplib::to_string(response.error());
         return out;
     }
+    if (!is_valid(*response)) {
+        out.verdict = call_verdict::broken;
+        out.error = "invalid status or name of a header field";
+        return out;
+    }
     out.status = response->status;
     out.verdict = response->has_header(caller_api::not_started_header) ? call_verdict::not_started
                                                                        : call_verdict::answered;
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -190,6 +190,39 @@
              send_text(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
          },
          "unknown"},
+        {"resets in a body without length",
+         [](int socket, std::string const&) {
+             send_text(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+             linger const at_once{1, 0};
+             setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+         },
+         "unknown"},
+        {"status 000",
+         [](int socket, std::string const&) {
+             send_text(socket, "HTTP/1.1 000 Odd\r\nContent-Length: 3\r\n\r\nodd");
+         },
+         "unknown"},
+        {"status 999",
+         [](int socket, std::string const&) {
+             send_text(socket, "HTTP/1.1 999 Odd\r\nContent-Length: 3\r\n\r\nodd");
+         },
+         "unknown"},
+        {"blank in the name of a field",
+         [](int socket, std::string const&) {
+             send_text(socket, "HTTP/1.1 200 OK\r\nContent Length: 3\r\n\r\nodd and more");
+         },
+         "unknown"},
+        {"blank before the name of a field",
+         [](int socket, std::string const&) {
+             send_text(socket,
+                       "HTTP/1.1 200 OK\r\nOdd: x\r\n Content-Length: 3\r\n\r\nodd and more");
+         },
+         "unknown"},
+        {"control byte in the name of a field",
+         [](int socket, std::string const&) {
+             send_text(socket, "HTTP/1.1 200 OK\r\nContent\x01Length: 3\r\n\r\nodd and more");
+         },
+         "unknown"},
         {"sheds",
          [](int socket, std::string const&) {
              send_text(socket,
