--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,8 +1,11 @@
 #include "core/address.h"
 #include "net/peer_codec.h"
+#include "net/threaded_http_server.h"
+#include "support/scripted_server.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <thread>
 
 namespace {
 
@@ -40,4 +43,24 @@
     RC_ASSERT(decoded.has_value() || !decoded.error().step.empty());
 }
 
+// Guards against a part of an answer without length that counts as the whole, because the error of
+// the connection was consumed by the upload.
+TEST(http_client, takes_no_answer_from_a_connection_that_breaks_in_a_long_upload)
+{
+    constexpr std::size_t long_upload = 16 << 20; // bytes; more than the socket buffers hold
+    for (cove::milliseconds const pause : {cove::milliseconds{0}, cove::milliseconds{20}}) {
+        boost::asio::io_context loop;
+        cove::scripted_server const server(loop, [&](std::string const&) {
+            return cove::scripted_answer{"HTTP/1.1 200 OK\r\n\r\nhalf",
+                                         cove::connection_action::reset, pause};
+        });
+        std::jthread const thread([&loop] { loop.run(); });
+        auto const answer =
+            cove::make_http_client("127.0.0.1", server.endpoint().port(), cove::seconds(5))
+                ->Put("/a", std::string(long_upload, 'x'), "text/plain");
+        EXPECT_FALSE(answer) << answer->body;
+        loop.stop();
+    }
+}
+
 } // namespace
