--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -202,7 +202,7 @@
 void exchange_connection::process(error_code error, std::size_t added)
 {
     if (closed_) {
-        return; // too many bytes of all responses together
+        return; // by its owner, or as all responses together take too much memory
     }
     if (!error && received_ > limits_.header_bytes + limits_.body_bytes) {
         error = http::error::body_limit;
