--- a/src/core/uri.cpp
+++ b/src/core/uri.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/** @return whether @p byte stands for itself in every part of a URI (RFC 3986, 2.3). */
+/** @return whether @p byte is an unreserved character (RFC 3986, 2.3), which needs no encoding. */
 bool is_unreserved(char byte)
 {
     return (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z') ||
--- a/src/core/uri_func.h
+++ b/src/core/uri_func.h
@@ -1,5 +1,5 @@
 #pragma once
-/** @file Parts of URIs. */
+/** @file Percent-encoding of URI components. */
 
 #include <string>
 #include <string_view>
@@ -7,8 +7,8 @@
 namespace cove {
 
 /**
- * Encodes any bytes as one segment of a path or one value of a query (RFC 3986, 2.1).
- * @return @p text in which all but letters, digits and `-._~` are percent-encoded.
+ * Percent-encodes @p text, which may be any bytes, for a path segment or a query value.
+ * @return @p text with all bytes but letters, digits and `-._~` encoded (RFC 3986, 2.1).
  */
 std::string percent_encode(std::string_view text);
 
--- a/src/entry/target_pool.cpp
+++ b/src/entry/target_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "core/address.h"
 #include "http/field_value.h"
+#include "http/status_type.h"
 #include "net/caller_api.h"
 #include "net/threaded_http_server.h"
 
@@ -14,13 +15,11 @@
 
 namespace {
 
-constexpr int first_final_status = 200;
-constexpr int last_status = 599; ///< RFC 9110, 15: others are invalid
-
-/** @return whether @p response is one; the client library checks neither status nor names. */
+/** @return whether status and field names are valid, which the client library does not check. */
 bool is_valid(httplib::Response const& response)
 {
-    return response.status >= first_final_status && response.status <= last_status &&
+    auto const status = static_cast<unsigned>(response.status);
+    return status >= first_final_status && status <= last_status &&
            std::all_of(response.headers.begin(), response.headers.end(),
                        [](auto const& field) { return is_field_name(field.first); });
 }
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,6 +1,7 @@
 #include "http/exchange.h"
 
 #include "core/address.h"
+#include "http/status_type.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -18,16 +19,13 @@
 
 namespace {
 
-constexpr std::size_t max_read_bytes = 65'536; ///< of one call
+constexpr std::size_t max_read_bytes = 65'536; ///< in one call of the socket
 /// A shorter response is not counted; most are.
 constexpr std::uint64_t uncounted_bytes = 16'384;
 /// A body that grows takes up to twice its bytes, and they are copied meanwhile.
 constexpr std::uint64_t growth_factor = 2;
-constexpr unsigned first_status = 100;
-constexpr unsigned last_status = 599;        ///< RFC 9110, 15: others are invalid
-constexpr unsigned first_final_status = 200; ///< responses with a lower status are interim ones
-constexpr int probe_interval_s = 1;          ///< between two keep-alive probes
-constexpr int max_probes = 1;                ///< unanswered ones that end a connection
+constexpr int probe_interval_s = 1; ///< between two keep-alive probes
+constexpr int max_probes = 1;       ///< unanswered ones that end a connection
 
 /** Sets an option of @p socket; one that fails leaves the defaults of the system. */
 template <class Value>
@@ -150,7 +148,7 @@
     sending_ = true;
     http::async_write(socket_, request_,
                       [self = shared_from_this()](error_code error, std::size_t) {
-                          // A failed write ends nothing: an early response may still arrive.
+                          // After a failed write, an early response may still arrive.
                           self->sent_ = !error;
                       });
     read();
@@ -197,7 +195,7 @@
 
 /**
  * Takes the result of a read; limits all bytes of a response, framing and trailers included.
- * @param added number of bytes at the end of the buffer that the response has not taken yet.
+ * @param added number of bytes at the end of the buffer that were not parsed before.
  */
 void exchange_connection::process(error_code error, std::size_t added)
 {
@@ -224,7 +222,7 @@
     on_response(error);
 }
 
-/** Parses what has been received. @return why it is no response; none if it may become one. */
+/** Parses the buffer. @return the error of an invalid response; none if it is valid so far. */
 error_code exchange_connection::parse(std::size_t added)
 {
     std::string_view const bytes(static_cast<char const*>(buffer_.data().data()), buffer_.size());
@@ -241,7 +239,7 @@
     return error;
 }
 
-/** Ends the response with the stream. @return why it is not complete. */
+/** Takes the end of the stream. @return the error if the response is incomplete. */
 error_code exchange_connection::end_of_stream()
 {
     error_code error = http::error::end_of_stream;
@@ -289,10 +287,10 @@
 }
 
 /**
- * @return whether the end of the stream is one that the peer intended. A reset is reported once, by
- * the call that notices it first: if that was the write, the read sees an ordinary end.
+ * @return whether the peer closed the connection, as opposed to resetting it. A reset is reported
+ * once: if the write has got the error, the read sees an ordinary end of the stream.
  */
-bool exchange_connection::ended_soundly()
+bool exchange_connection::closed_cleanly()
 {
     return sent_ && pending_error(socket_.native_handle()) == 0;
 }
@@ -306,7 +304,7 @@
         finish({exchange_outcome::broken, {}, error.message(), cut_short || !invalid});
         return;
     }
-    if (parser_->need_eof() && !ended_soundly()) {
+    if (parser_->need_eof() && !closed_cleanly()) {
         finish({exchange_outcome::broken,
                 {},
                 "the connection broke in a response without length",
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -129,7 +129,7 @@
     boost::system::error_code parse(std::size_t added);
     boost::system::error_code end_of_stream();
     void on_response(boost::system::error_code error);
-    bool ended_soundly();
+    bool closed_cleanly();
     void account_for_received();
     void give_up_response();
     void release_memory();
--- a/src/http/field_value.cpp
+++ b/src/http/field_value.cpp
@@ -1,5 +1,7 @@
 #include "http/field_value.h"
 
+#include "core/text_func.h"
+
 #include <algorithm>
 
 namespace cove {
@@ -15,11 +17,6 @@
 
 bool is_field_value(std::string_view text)
 {
-    auto const is_control = [](char byte) {
-        constexpr unsigned char del = 0x7f;
-        auto const value = static_cast<unsigned char>(byte);
-        return value < ' ' || value == del;
-    };
     return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
            std::none_of(text.begin(), text.end(), is_control);
 }
--- a/src/http/folded_line.h
+++ b/src/http/folded_line.h
@@ -1,5 +1,5 @@
 #pragma once
-/** @file Finds header fields that are continued on another line. */
+/** @file Detects line folding in the header section of a message. */
 
 #include <cstddef>
 #include <string_view>
@@ -7,14 +7,14 @@
 namespace cove {
 
 /**
- * Finds a line that begins with a blank in the header section of one message. The parser appends
- * such a line to the field before it; a receiver may also refuse the message (RFC 9112, 5.2).
+ * Finds a folded line, which begins with a space or a tab, in the header section of one message.
+ * The parser would append it to the field before; a receiver may refuse it (RFC 9112, 5.2).
  */
 class folded_line_finder {
 public:
     /**
      * Takes the next bytes of the message.
-     * @return whether a line of the header section begins with a space or a tab in them.
+     * @return whether a folded line begins in them.
      */
     bool take(std::string_view bytes);
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,5 +1,7 @@
 #include "log/log_func.h"
 
+#include "core/text_func.h"
+
 #include <algorithm>
 #include <easylogging++.h>
 
@@ -10,13 +12,6 @@
 
     namespace {
 
-    bool is_control(char c)
-    {
-        constexpr unsigned char del = 0x7f;
-        auto const value = static_cast<unsigned char>(c);
-        return value < ' ' || value == del;
-    }
-
     std::string quoted(std::string const& value)
     {
         bool const has_control = std::any_of(value.begin(), value.end(), is_control);
