Keep a doubted entry that the store lists again

Seen by callers: after two returns of the store from older copies, a target that the store listed as serving was removed from a host's list and got no requests until its entry changed. Cause: a list of a return makes an entry doubtful if the target is known to leave. If the next return lacks the entry, its removal is scheduled; a later list that holds the same entry was passed over as nothing new, and the removal stayed scheduled. Change: an entry that is listed is no longer to be removed. Why it works: a removal is only scheduled for an entry that the store does not list.

--- a/src/traffic/target_list.cpp
+++ b/src/traffic/target_list.cpp
@@ -77,6 +77,7 @@
     for (auto const& [id, entry] : listed) {
         auto const doubted = doubted_.find(id);
         if (doubted != doubted_.end() && doubted->second.listed == entry) {
+            pending_removals_.erase(id);
             continue; // nothing new
         }
         target_entry const used = went_back ? reconcile(entry) : entry;
--- a/tests/traffic/store_return_test.cpp
+++ b/tests/traffic/store_return_test.cpp
@@ -118,6 +118,18 @@
     EXPECT_EQ(list.entries().at(1), restarted);
 }
 
+// RECOVER: an entry that two returns of the store had made doubtful and then missing was removed
+// although the store listed it again.
+TEST_F(returned_list, keeps_a_doubted_entry_that_is_listed_again)
+{
+    list.remove(target_id("b"), start);
+    list.replace({entry("a"), entry("b")}, position(30, 2), start); // doubted
+    list.replace({entry("a")}, position(20, 3), start);             // missing
+    list.replace({entry("a"), entry("b")}, position(31, 3), start);
+    list.expire(start + seconds{20});
+    EXPECT_EQ(phase("b"), target_phase::serving);
+}
+
 // DRAIN: a peer that pulled the list kept an entry for good that its sender only held for a while.
 TEST_F(returned_list, tells_peers_for_how_long_it_holds_an_entry)
 {
