Apply the changes of one answer of the store in their order

Cause: a host applied an answer's changes to its list in order, but told the reducer two sets, updated and removed targets, of which the removals were applied last. A target that was removed and created within one answer stayed in the list and was erased from what places requests. Lists that do not differ are not passed on, so nothing mended it. Change: the list folds the changes of an answer to the last state of each target and tells how that differs from the state before; the reducer applies removals first. A target that was removed in between and started again is in both parts, so that its old connections are closed. Why it works: what the reducer is told is derived from the list before and after, so the two can't differ.

--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -438,7 +438,6 @@
         return false; // after a gap, the host pulls the whole list
     }
     mono_time const now = read_clocks().mono;
-    targets_changed changed;
     for (target_change const& change : message.changes) {
         if (!change.entry || change.entry->phase == target_phase::leaving) {
             log_.event("target_left",
@@ -448,13 +447,8 @@
                         {"source", source}},
                        now);
         }
-        if (change.entry && targets_.put(*change.entry)) {
-            changed.updated.push_back(*change.entry);
-        }
-        else if (!change.entry && targets_.remove(change.id, now)) {
-            changed.removed.push_back(change.id);
-        }
     }
+    targets_changed const changed = targets_.apply(message.changes, now);
     targets_.advance(message.to);
     forward_changes(changed);
     return true;
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -129,12 +129,6 @@
     std::vector<std::string> relay_to; ///< IPs to which the receiver passes the configuration on
 };
 
-/** A change of one entry of the list of targets. */
-struct target_change {
-    target_id id;
-    std::optional<target_entry> entry; ///< absent if it was removed or is not a valid target
-};
-
 /** Ordered changes of the list of targets, for hosts whose list is at `from` or later. */
 struct target_changes {
     store_position from;
--- a/src/traffic/target_list.cpp
+++ b/src/traffic/target_list.cpp
@@ -1,6 +1,7 @@
 #include "traffic/target_list.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cove {
 
@@ -90,6 +91,39 @@
     return changed;
 }
 
+targets_changed target_list::apply(std::vector<target_change> const& changes, mono_time now)
+{
+    auto const current = [this](target_id const& id) {
+        auto const found = entries_.find(id);
+        return found == entries_.end() ? std::optional<target_entry>{} : found->second;
+    };
+    std::map<target_id, std::optional<target_entry>> before;
+    std::set<target_id> ended;
+    for (target_change const& change : changes) {
+        before.try_emplace(change.id, current(change.id));
+        if (change.entry) {
+            put(*change.entry);
+        }
+        else if (remove(change.id, now)) {
+            ended.insert(change.id);
+        }
+    }
+    targets_changed out;
+    for (auto const& [id, old] : before) {
+        auto const last = current(id);
+        if (last == old) {
+            continue;
+        }
+        if (old && ended.contains(id)) {
+            out.removed.push_back(id);
+        }
+        if (last) {
+            out.updated.push_back(*last);
+        }
+    }
+    return out;
+}
+
 bool target_list::put(target_entry const& entry)
 {
     pending_removals_.erase(entry.id);
--- a/src/traffic/target_list.h
+++ b/src/traffic/target_list.h
@@ -27,6 +27,9 @@
     /** Replaces the list unless @p at is older than its position. @return whether it changed. */
     bool replace(std::vector<target_entry> const& entries, store_position at, mono_time now);
 
+    /** Applies changes in their order. @return their result for each target that has changed. */
+    targets_changed apply(std::vector<target_change> const& changes, mono_time now);
+
     /** Adds or updates one entry. @return whether the list changed. */
     bool put(target_entry const& entry);
 
--- a/src/traffic/target_type.h
+++ b/src/traffic/target_type.h
@@ -31,6 +31,12 @@
     bool operator==(target_entry const&) const = default;
 };
 
+/** A change of one entry of the list of targets. */
+struct target_change {
+    target_id id;
+    std::optional<target_entry> entry; ///< absent if it was removed or is not a valid target
+};
+
 /** An entry that is out of the store's list, but kept for a while. */
 struct held_target {
     target_id id;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -304,6 +304,9 @@
 void traffic::on(targets_changed const& event)
 {
     bool index_outdated = false;
+    for (target_id const& id : event.removed) {
+        index_outdated = targets_.erase(id) > 0 || index_outdated;
+    }
     for (target_entry const& entry : event.updated) {
         index_outdated = put_target(entry) || index_outdated;
         if (auto const found = object_balances_.find(entry.service);
@@ -311,9 +314,6 @@
             found->second.targets_changed();
         }
     }
-    for (target_id const& id : event.removed) {
-        index_outdated = targets_.erase(id) > 0 || index_outdated;
-    }
     if (index_outdated) {
         index_targets();
     }
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -98,10 +98,13 @@
     std::vector<target_entry> entries;
 };
 
-/** Changes of the list of targets since the last such event. */
+/**
+ * Changes of the list of targets since the last such event. A target in both parts has been removed
+ * and has started again.
+ */
 struct targets_changed {
     std::vector<target_entry> updated; ///< new and changed entries
-    std::vector<target_id> removed;
+    std::vector<target_id> removed;    ///< to be applied first
 };
 
 /** The complete set of evacuated zones; their targets get no requests. */
