Relay requests of other home regions to a host there

Cause: outside of its home regions such a request could only use this host's part of the quota for other zones. That is half of a zone's spare slots, in whole requests divided among all hosts elsewhere: with 56 hosts and a zone of 24 slots most hosts get none. Its quota of requests per second was not the cause. Change: if no quota is left, the request is relayed to a host of its home regions, as requests are when a host is cut off. The line of a request that the host answers names its workspace, which was missing to tell this from limits. Why it works: a host there knows which targets have room, and queues the request beside its own. A relayed request is not relayed again, counts no second time for the quota of its workspace, and stays outside the shift cap, since the share of such requests does not change.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -581,7 +581,7 @@
 
 bool request_forwarder::needs_relays() const
 {
-    return traffic_.needs_relays(read_clocks().mono);
+    return has_homes_elsewhere_ || traffic_.needs_relays(read_clocks().mono);
 }
 
 response_match request_forwarder::match(std::string const& attempt_id,
@@ -740,6 +740,7 @@
                 {"fingerprint", to_hex(found->second.fingerprint)},
                 {"route", found->second.route->name.value},
                 {"service", found->second.service.value},
+                {"workspace", found->second.credentials.workspace.value},
                 {"reason", name_of(effect.reason)},
                 {"attempts", std::to_string(effect.attempts)},
                 {"held_ms", std::to_string(effect.elapsed.count())},
@@ -810,6 +811,7 @@
     routes_ = std::make_unique<route_table>(config);
     admission_.set_config(config);
     round_robin_.keep_only(config);
+    has_homes_elsewhere_ = traffic_.has_homes_elsewhere(config);
     feed(services_listed{config.services});
 }
 
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -200,6 +200,7 @@
     std::function<void(std::vector<crash_record> const&)> report_crashes_;
     std::function<void(bool)> links_changed_;
     std::uint64_t blocked_requests_ = 0;  ///< answered as blocked so far
+    bool has_homes_elsewhere_ = false;    ///< some requests must run in other regions
     std::uint64_t relayed_requests_ = 0;  ///< sent to other hosts so far
     std::uint64_t departed_requests_ = 0; ///< not sent, as their clients had left
     std::uint64_t failed_requests_ = 0;   ///< answered 500, as their handling failed
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -121,9 +121,16 @@
     /** @return whether this host has lost its links to all targets. */
     [[nodiscard]] bool cut_off() const { return reach_.cut_off(); }
 
-    /** @return whether other hosts carry requests for this one, in part or all. */
+    /** @return whether other hosts carry requests for this one, as it is cut off or was lately. */
     [[nodiscard]] bool needs_relays(mono_time now) const { return reach_.relay_share(now) > 0; }
 
+    /** @return whether targets of @p zone may be used under @p home_regions; empty means any. */
+    [[nodiscard]] bool is_home(std::vector<region_id> const& home_regions,
+                               zone_id const& zone) const;
+
+    /** @return whether @p config has routes or workspaces that must not run in this region. */
+    [[nodiscard]] bool has_homes_elsewhere(routing_config const& config) const;
+
     /** @return the requests under which most targets have ended, at most @p limit. */
     [[nodiscard]] std::vector<crash_record> crashes(std::size_t limit, mono_time now) const
     {
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -86,16 +86,18 @@
                    [](auto const* request) { return request->id; });
 }
 
+bool traffic::is_home(std::vector<region_id> const& home_regions, zone_id const& zone) const
+{
+    auto const region = settings_.regions.find(zone);
+    return home_regions.empty() ||
+           (region != settings_.regions.end() && std::find(home_regions.begin(), home_regions.end(),
+                                                           region->second) != home_regions.end());
+}
+
 /** @return whether @p zone is in the home regions of the route and of the workspace. */
 bool traffic::zone_allowed(pending_request const& request, zone_id const& zone) const
 {
-    auto const region = settings_.regions.find(zone);
-    auto const contains_zone = [&](std::vector<region_id> const& home_regions) {
-        return home_regions.empty() || (region != settings_.regions.end() &&
-                                        std::find(home_regions.begin(), home_regions.end(),
-                                                  region->second) != home_regions.end());
-    };
-    return contains_zone(request.route->home_regions) && contains_zone(request.home_regions);
+    return is_home(request.route->home_regions, zone) && is_home(request.home_regions, zone);
 }
 
 bool traffic::in_other_region(zone_id const& zone) const
@@ -386,8 +388,9 @@
 
 /**
  * Handles a request that no local target can take now. It stays queued if it can still meet its
- * objective. Otherwise it is sent to another zone within the quota, stays queued for a part of its
- * time if it can be answered before it expires, or is refused immediately.
+ * objective. Otherwise it is sent to another zone within the quota, or relayed to a host of its
+ * home regions if this one is in none. Else it stays queued for a part of its time if it can be
+ * answered before it expires, or is refused immediately.
  */
 void traffic::wait_or_refuse(pending_request& request, placement_round& round,
                              placement_option const* queued_for)
@@ -422,6 +425,10 @@
             return;
         }
     }
+    // The hosts of its home regions know which of their targets have room, and can queue it.
+    if (request.home_elsewhere && !request.relayed && relay(request)) {
+        return;
+    }
     double const left = as_ms(request.expires - now_);
     double const held = as_ms(now_ - request.arrived);
     double const hold = (left + held) * max_hold_share;
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -67,6 +67,15 @@
     }
 }
 
+bool traffic::has_homes_elsewhere(routing_config const& config) const
+{
+    auto const elsewhere = [this](auto const& item) {
+        return !is_home(item.home_regions, settings_.zone);
+    };
+    return std::any_of(config.routes.begin(), config.routes.end(), elsewhere) ||
+           std::any_of(config.workspaces.begin(), config.workspaces.end(), elsewhere);
+}
+
 bool traffic::wants_relay(pending_request const& request) const
 {
     constexpr double range = 18446744073709551616.0; // 2^64
--- a/tests/traffic/relay_test.cpp
+++ b/tests/traffic/relay_test.cpp
@@ -220,6 +220,60 @@
     EXPECT_TRUE(of_kind<relay_request>(effects).empty());
 }
 
+// SHORT: outside of its home region a workspace was served a tenth of its requests, as quotas for
+// other zones, divided among all hosts, left most hosts without a slot there.
+TEST_F(relay_case, requests_of_other_home_regions_go_by_way_of_a_host_there)
+{
+    list(6);
+    report_relays({same_zone, other_region});
+    route.home_regions = {region_id("s")};
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    EXPECT_EQ(single<relay_request>()->address, other_region.address);
+    feed(relay_ended{id, relay_end::refused});
+    EXPECT_TRUE(single<deliver_answer>()); // with the time to come back that the other host names
+    EXPECT_EQ(reducer.open_requests(), 0U);
+}
+
+TEST_F(relay_case, requests_of_other_home_regions_are_sent_there_within_the_quota)
+{
+    list(6);
+    entries.push_back(target("far", "away", 2));
+    feed(targets_listed{entries});
+    peers_reported peers;
+    peers.hosts_in_zone = {node_id("h0")};
+    peers.remote_quotas = {{zone_id("away"), desk, 1}};
+    peers.relays = {other_region};
+    feed(peers);
+    route.home_regions = {region_id("s")};
+    arrive();
+    ASSERT_TRUE(single<send_attempt>());
+    EXPECT_EQ(single<send_attempt>()->target, target_id("far"));
+    arrive();
+    EXPECT_TRUE(single<relay_request>());
+}
+
+TEST_F(relay_case, a_relayed_request_of_other_home_regions_is_not_relayed_again)
+{
+    report_relays({other_region});
+    route.home_regions = {region_id("s")};
+    arrive_relayed(1);
+    EXPECT_TRUE(of_kind<relay_request>(effects).empty());
+}
+
+TEST_F(relay_case, homes_elsewhere_are_those_of_routes_and_workspaces)
+{
+    routing_config config;
+    config.routes = {route};
+    EXPECT_FALSE(reducer.has_homes_elsewhere(config));
+    config.routes[0].home_regions = {region_id("r"), region_id("s")};
+    EXPECT_FALSE(reducer.has_homes_elsewhere(config));
+    config.workspaces.push_back({});
+    EXPECT_FALSE(reducer.has_homes_elsewhere(config));
+    config.workspaces[0].home_regions = {region_id("s")};
+    EXPECT_TRUE(reducer.has_homes_elsewhere(config));
+}
+
 TEST_F(relay_case, a_refusal_is_tried_at_one_more_host_and_then_passed_on)
 {
     route.idempotent = false;
