Leave running requests at their targets during a planned stop

Cause, suspected: an idempotent request that takes three times the expected time is withdrawn from its target and sent to another one. If that one refuses it, no attempt is left and the client gets 502, although the first target was at work. Evidence: stopping_host.leaves_requests_at_the_target_that_is_at_work_on_them failed before. Change: a host that stops withdraws no request from a target in favour of another.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -519,10 +519,14 @@
     retry_on_other_target(request);
 }
 
-/** Moves an idempotent request to another target if one can take it immediately. */
+/**
+ * Moves an idempotent request to another target if one can take it immediately. A host that stops
+ * moves none: if the other target refuses the request too, nothing is left to answer it with.
+ */
 void traffic::retry_on_other_target(pending_request& request)
 {
-    if (request.attempts >= request.max_attempts || crashes_.blocked(request.fingerprint, now_)) {
+    if (answers_due_ || request.attempts >= request.max_attempts ||
+        crashes_.blocked(request.fingerprint, now_)) {
         return;
     }
     target_id const previous = *request.target;
--- a/tests/traffic/stop_test.cpp
+++ b/tests/traffic/stop_test.cpp
@@ -26,6 +26,21 @@
     }
 
     void stop_within(milliseconds time) { feed(stop_announced{now + time}); }
+
+    /** Sends a request that takes several times as long as those before it, until it is overdue. */
+    std::pair<request_id, target_id> run_overdue(std::optional<milliseconds> stop_after)
+    {
+        serve(milliseconds{100});
+        request_id const id = arrive("o");
+        auto const sent = single<send_attempt>();
+        EXPECT_TRUE(sent);
+        if (stop_after) {
+            stop_within(*stop_after);
+        }
+        advance_effects.clear();
+        advance(milliseconds{2000});
+        return {id, sent->target};
+    }
 };
 
 TEST_F(stopping_host, refuses_as_not_run_what_may_not_end)
@@ -62,5 +77,23 @@
     EXPECT_TRUE(single<send_attempt>());
 }
 
+TEST_F(stopping_host, withdraws_overdue_requests_before_the_stop_only)
+{
+    run_overdue(std::nullopt);
+    EXPECT_EQ(of_kind<cancel_attempt>(advance_effects).size(), 1U);
+    EXPECT_EQ(of_kind<send_attempt>(advance_effects).size(), 1U);
+}
+
+// LOST: a stopping host withdrew a slow request from the target that was at work on it. The next
+// target refused it, so the client got 502.
+TEST_F(stopping_host, leaves_requests_at_the_target_that_is_at_work_on_them)
+{
+    auto const [id, target] = run_overdue(milliseconds{5000});
+    EXPECT_TRUE(of_kind<cancel_attempt>(advance_effects).empty());
+    EXPECT_TRUE(of_kind<send_attempt>(advance_effects).empty());
+    end(id, target, attempt_end::succeeded);
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
 } // namespace
 } // namespace cove
