--- a/tests/platform/paged_list_test.cpp
+++ b/tests/platform/paged_list_test.cpp
@@ -48,7 +48,7 @@
 class page_ages : public testing::TestWithParam<page_age_case> {};
 
 // DRAIN: a list that may be stale began at the revision of its first page. Changes between that and
-// an older page were never heard of, so a target that leaves went on getting requests.
+// an older page were never delivered, so a target that leaves went on getting requests.
 TEST_P(page_ages, give_a_list_the_position_of_its_oldest_page)
 {
     auto const& revisions = GetParam().revisions;
--- a/tests/traffic/change_order_test.cpp
+++ b/tests/traffic/change_order_test.cpp
@@ -86,6 +86,15 @@
     return out;
 }
 
+std::vector<target_entry> entries_of(std::map<std::string, target_entry> const& model)
+{
+    std::vector<target_entry> out;
+    for (auto const& [name, entry] : model) {
+        out.push_back(entry);
+    }
+    return out;
+}
+
 // RECOVER: a target was in the list, but unknown to what places requests, or the other way round.
 RC_GTEST_PROP(change_order, leaves_the_last_state_of_each_target_in_use, ())
 {
@@ -121,11 +130,7 @@
         }
         if (*rc::gen::inRange(0, 8) == 0) { // a list in place of the answer
             answer.clear();
-            std::vector<target_entry> entries;
-            for (auto const& [each, entry] : model) {
-                entries.push_back(entry);
-            }
-            host.replace(entries, position(revision));
+            host.replace(entries_of(model), position(revision));
             RC_ASSERT(host.used() == serving(model));
         }
     }
@@ -142,13 +147,7 @@
     std::uint64_t revision = 1;
     host.fixture.now += seconds{20};
     host.replace({}, position(revision, era));
-    auto const list_all = [&] {
-        std::vector<target_entry> entries;
-        for (auto const& [each, entry] : model) {
-            entries.push_back(entry);
-        }
-        host.replace(entries, position(revision, era));
-    };
+    auto const list_all = [&] { host.replace(entries_of(model), position(revision, era)); };
     for (int left = *rc::gen::inRange(1, 40); left > 0; --left) {
         std::vector<target_change> changes;
         for (int count = *rc::gen::inRange(1, 4); count > 0; --count) {
