Compare targets in a property only if there are any

Seen: targets.that_change_one_by_one_are_used_as_if_listed_anew ended with signal 11 while the layout of send_attempt was being changed, with `expected` and `actual` both empty in the debugger.

Cause: RC_ASSERT puts its own operators around the expression, so that `!expected || ...` becomes a call of an overloaded operator||, which evaluates both sides. The targets of two empty optionals were compared; with the former layout the bytes there happened to be harmless.

Change: parentheses keep the built-in operator. The condition is the same, so the check is as strict as before.

--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -217,7 +217,7 @@
         auto const expected = listed.single<send_attempt>();
         auto const actual = changed.single<send_attempt>();
         RC_ASSERT(expected.has_value() == actual.has_value());
-        RC_ASSERT(!expected || expected->target == actual->target);
+        RC_ASSERT((!expected || expected->target == actual->target));
     }
 }
 
