--- a/src/bench/traffic_bench.cpp
+++ b/src/bench/traffic_bench.cpp
@@ -78,11 +78,9 @@
     void end_attempt()
     {
         now_ += milliseconds{1};
-        auto const [id, target] = running_.front();
-        running_.erase(running_.begin());
         attempt_ended event;
-        event.id = id;
-        event.target = target;
+        event.attempt = running_.front();
+        running_.erase(running_.begin());
         event.end = attempt_end::succeeded;
         perform(reducer_.reduce(event, now_));
     }
@@ -98,7 +96,7 @@
     {
         for (traffic_effect const& effect : effects) {
             if (auto const* const sent = std::get_if<send_attempt>(&effect)) {
-                running_.emplace_back(sent->id, sent->target);
+                running_.push_back(sent->attempt);
             }
         }
     }
@@ -108,7 +106,7 @@
     traffic reducer_;
     mono_time now_{seconds{100}};
     std::uint64_t last_id_ = 0;
-    std::vector<std::pair<request_id, target_id>> running_;
+    std::vector<target_attempt> running_;
 };
 
 /** @return the mean time of a call of @p work, in microseconds. */
--- a/src/emulator/emulated_target.cpp
+++ b/src/emulator/emulated_target.cpp
@@ -33,25 +33,25 @@
         return;
     }
     ++refused_;
-    on_end_(work.id, attempt_end::refused, load());
+    on_end_(work.attempt, attempt_end::refused, load());
 }
 
 void emulated_target::start(emulated_work const& work)
 {
-    running_.insert(work.id);
+    running_.insert(work.attempt.id);
     bool const warm = std::find(warm_.begin(), warm_.end(), work.object) != warm_.end();
     ++(warm ? warm_runs_ : cold_runs_);
     double const factor = std::max(min_work, std::normal_distribution(1.0, work_spread)(random_)) *
                           (warm ? work.warm_factor : 1);
     auto const time = microseconds(static_cast<std::int64_t>(
         factor * static_cast<double>(microseconds(work.cold_time).count())));
-    scheduler_.after(time, [this, id = work.id, object = work.object] {
-        if (running_.erase(id) == 0) {
+    scheduler_.after(time, [this, attempt = work.attempt, object = work.object] {
+        if (running_.erase(attempt.id) == 0) {
             return; // cancelled
         }
         touch(object);
         start_queued();
-        on_end_(id, attempt_end::succeeded, load());
+        on_end_(attempt, attempt_end::succeeded, load());
     });
 }
 
@@ -61,7 +61,7 @@
         emulated_work const next = queue_.front();
         queue_.pop_front();
         if (next.deadline <= scheduler_.now()) {
-            on_end_(next.id, attempt_end::refused, load());
+            on_end_(next.attempt, attempt_end::refused, load());
         }
         else {
             start(next);
@@ -78,9 +78,9 @@
     }
 }
 
-void emulated_target::cancel(request_id id)
+void emulated_target::cancel(send_id const& id)
 {
-    std::erase_if(queue_, [id](emulated_work const& work) { return work.id == id; });
+    std::erase_if(queue_, [&id](emulated_work const& work) { return work.attempt.id == id; });
     if (running_.erase(id) > 0) {
         start_queued();
     }
--- a/src/emulator/emulated_target.h
+++ b/src/emulator/emulated_target.h
@@ -21,7 +21,7 @@
 
 /** Work of one request. */
 struct emulated_work {
-    request_id id;
+    target_attempt attempt;
     std::string object;
     milliseconds cold_time{};
     double warm_factor = 1; ///< relative to cold_time
@@ -31,8 +31,8 @@
 /** Runs requests in its slots in the order of arrival. */
 class emulated_target {
 public:
-    /** Receives the end of a request. */
-    using end_handler = std::function<void(request_id, attempt_end, target_load)>;
+    /** Receives the end of an attempt. */
+    using end_handler = std::function<void(target_attempt const&, attempt_end, target_load)>;
 
     emulated_target(scheduler& scheduler, random_engine& random, emulated_target_limits limits,
                     end_handler on_end);
@@ -41,7 +41,7 @@
     void accept(emulated_work const& work);
 
     /** Drops a request that is queued or running. */
-    void cancel(request_id id);
+    void cancel(send_id const& id);
 
     [[nodiscard]] int warm_runs() const { return warm_runs_; }
     [[nodiscard]] int cold_runs() const { return cold_runs_; }
@@ -57,7 +57,7 @@
     random_engine& random_;
     emulated_target_limits limits_;
     end_handler on_end_;
-    std::set<request_id> running_;
+    std::set<send_id> running_;
     std::deque<emulated_work> queue_;
     std::list<std::string> warm_; ///< most recently handled first
     int warm_runs_ = 0;
--- a/src/emulator/zone_emulator.cpp
+++ b/src/emulator/zone_emulator.cpp
@@ -71,10 +71,12 @@
     emulated_target_limits const limits{settings_.slots, settings_.queue, settings_.warm_objects};
     for (int i = 0; i < settings_.targets; ++i) {
         target_id const id("target-" + std::to_string(i));
-        auto const on_end = [this, id](request_id request, attempt_end end, target_load load) {
-            scheduler_.after(network_delay, [this, id, request, end, load] {
-                if (auto const found = requests_.find(request); found != requests_.end()) {
-                    feed(found->second.host, attempt_ended{request, id, end, load, {}});
+        auto const on_end = [this](target_attempt const& attempt, attempt_end end,
+                                   target_load load) {
+            scheduler_.after(network_delay, [this, attempt, end, load] {
+                auto const found = requests_.find(attempt.id.request);
+                if (found != requests_.end()) {
+                    feed(found->second.host, attempt_ended{attempt, end, load, {}});
                 }
             });
         };
@@ -163,11 +165,12 @@
 
 void zone_emulator::execute(send_attempt const& effect)
 {
-    client_request const& request = requests_.at(effect.id);
-    emulated_work const work{effect.id, request.object, request.type->work,
+    client_request const& request = requests_.at(effect.attempt.id.request);
+    emulated_work const work{effect.attempt, request.object, request.type->work,
                              request.type->warm_factor, scheduler_.now() + effect.time_left};
-    scheduler_.after(network_delay,
-                     [this, target = effect.target, work] { targets_.at(target).accept(work); });
+    scheduler_.after(network_delay, [this, target = effect.attempt.target, work] {
+        targets_.at(target).accept(work);
+    });
 }
 
 void zone_emulator::execute(cancel_attempt const& effect)
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <stdexcept>
 
 namespace cove {
 
@@ -127,6 +128,31 @@
     }
 }
 
+request_id request_of(deliver_answer const& effect)
+{
+    return effect.id;
+}
+
+request_id request_of(answer_locally const& effect)
+{
+    return effect.id;
+}
+
+request_id request_of(send_attempt const& effect)
+{
+    return effect.attempt.id.request;
+}
+
+request_id request_of(relay_request const& effect)
+{
+    return effect.id.request;
+}
+
+request_id request_of(cancel_attempt const& effect)
+{
+    return effect.id.request;
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(boost::asio::io_context& loop, loop_timers& timers,
@@ -170,18 +196,19 @@
 template <class Effect>
 void request_forwarder::execute_guarded(Effect const& effect)
 {
-    if constexpr (requires { effect.id; }) {
+    if constexpr (requires { request_of(effect); }) {
+        request_id const id = request_of(effect);
         try {
             execute(effect);
         }
         catch (std::exception const& error) {
             ++failed_requests_;
-            auto const found = open_.find(effect.id);
+            auto const found = open_.find(id);
             log_.event("request_failed",
                        {{"request", found == open_.end() ? "" : found->second.attempt_id},
                         {"detail", error.what()}},
                        read_clocks().mono);
-            failed_.push_back(effect.id);
+            failed_.push_back(id);
         }
     }
     else {
@@ -208,6 +235,7 @@
         perform(client_disconnected{id, true}); // frees its slot, wherever it is
         if (auto const found = open_.find(id); found != open_.end()) {
             record_outcome(found->second, "host_failed");
+            abort_exchange(found->second, false);
             open_.erase(found);
         }
         bool const relayed = (id.value & relayed_id_bit) != 0;
@@ -336,7 +364,7 @@
 {
     auto const found = open_.find(id);
     bool const unsent =
-        found != open_.end() && found->second.connection && !found->second.connection->sending();
+        found != open_.end() && found->second.exchange && !found->second.exchange->used->sending();
     drop(id, unsent);
     drop_ended();
 }
@@ -356,7 +384,7 @@
 {
     perform(client_disconnected{id, unsent});
     auto const found = open_.find(id);
-    if (found != open_.end() && !found->second.connection) {
+    if (found != open_.end() && !found->second.exchange) {
         record_outcome(found->second, "client_left");
         if (found->second.sends == 0 || (found->second.sends == 1 && unsent)) {
             give_back(found->second);
@@ -443,29 +471,28 @@
 
 void request_forwarder::execute(send_attempt const& effect)
 {
-    auto const found = open_.find(effect.id);
+    request_id const id = effect.attempt.id.request;
+    auto const found = open_.find(id);
     if (found == open_.end()) {
         return;
     }
     open_request& open = found->second;
-    if (stop_unless_admitted(effect.id, open)) {
+    if (stop_unless_admitted(id, open)) {
         return;
     }
+    target_id const& target = effect.attempt.target;
     http_request message = header_of(open, effect.time_left, names_.deadline);
     admission_.prepare_for_target(message, open.credentials);
-    message.set(names_.expected_target, effect.target.value);
-    ++open.sends;
-    open.pool = &pool_;
-    open.peer = effect.target;
-    open.connection =
-        pool_.acquire(effect.target, effect.address, effect.idempotent, open.attempt_id);
-    bool const fresh = !open.connection->connected();
+    message.set(names_.expected_target, target.value);
+    connection const used =
+        pool_.acquire(target, effect.address, effect.idempotent, open.attempt_id);
+    bool const fresh = !used->connected();
+    bool const carried_others = used->idle_since != mono_time{};
+    begin_exchange(open, {effect.attempt.id, used, pool_, target});
     if (fresh) {
-        limit_connect_time(open.connection);
+        limit_connect_time(used);
     }
-    bool const carried_others = open.connection->idle_since != mono_time{};
-    auto const connection = open.connection; // the request may be withdrawn at once
-    connection->exchange(
+    used->exchange(
         std::move(message),
         [this, attempt_id = open.attempt_id, carried_others](http_response const& response) {
             // A faulty target may repeat a refusal of an earlier request.
@@ -473,31 +500,66 @@
             return has_id || !carried_others ? match(attempt_id, response)
                                              : response_match::other_request;
         },
-        [this, effect, fresh](exchange_result result) {
-            on_exchange_end(effect.id, effect, fresh, std::move(result));
+        [this, effect, fresh, owner = std::weak_ptr(used)](exchange_result result) {
+            on_attempt_end(effect, owner.lock(), fresh, std::move(result)); // called by it
         },
-        still_wanted(effect.id), open.body);
+        still_wanted(id), open.body);
+}
+
+/** Notes that @p exchange begins. No other one of the request is in progress. */
+void request_forwarder::begin_exchange(open_request& open, running_exchange exchange)
+{
+    if (open.exchange) {
+        throw std::logic_error("another exchange of the request is in progress");
+    }
+    ++open.sends;
+    open.exchange.emplace(std::move(exchange));
+}
+
+/** Notes that the exchange of send @p id has ended. */
+void request_forwarder::end_exchange(open_request& open, send_id const& id)
+{
+    if (open.exchange && open.exchange->id == id) {
+        open.exchange.reset();
+    }
+}
+
+/** Ends the exchange in progress, if any. @param overdue as of cancel_attempt. */
+void request_forwarder::abort_exchange(open_request& open, bool overdue)
+{
+    if (!open.exchange) {
+        return;
+    }
+    running_exchange const aborted = *open.exchange;
+    open.exchange.reset();
+    open.may_have_run = open.may_have_run || aborted.used->sending();
+    if (overdue) {
+        aborted.pool.give_up(aborted.peer, aborted.used);
+    }
+    else {
+        aborted.used->close();
+    }
 }
 
 /** Gives up connecting, so that the request goes elsewhere while there is time. */
-void request_forwarder::limit_connect_time(target_connection_pool::connection const& connection)
+void request_forwarder::limit_connect_time(connection const& used)
 {
-    timers_.once(read_clocks().mono + connect_timeout,
-                 [weak = std::weak_ptr<exchange_connection>(connection)] {
-                     if (auto const waiting = weak.lock()) {
-                         waiting->give_up_connecting();
-                     }
-                 });
+    timers_.once(read_clocks().mono + connect_timeout, [weak = std::weak_ptr(used)] {
+        if (auto const waiting = weak.lock()) {
+            waiting->give_up_connecting();
+        }
+    });
 }
 
 void request_forwarder::execute(relay_request const& effect)
 {
-    auto const found = open_.find(effect.id);
+    request_id const id = effect.id.request;
+    auto const found = open_.find(id);
     if (found == open_.end()) {
         return;
     }
     open_request& open = found->second;
-    if (stop_unless_admitted(effect.id, open)) {
+    if (stop_unless_admitted(id, open)) {
         return;
     }
     ++relayed_requests_;
@@ -505,54 +567,52 @@
     admission_.prepare_for_relay(message, open.credentials);
     message.set(client_field, open.client);
     message.set(attempts_field, std::to_string(effect.attempts_left));
-    ++open.sends;
-    open.pool = &relay_pool_;
-    open.peer = target_id(effect.address);
-    open.connection =
-        relay_pool_.acquire(open.peer, effect.address, effect.idempotent, open.attempt_id);
-    if (!open.connection->connected()) {
-        limit_connect_time(open.connection);
-    }
-    auto const connection = open.connection; // the request may be withdrawn at once
-    connection->exchange(
+    target_id const peer(effect.address);
+    connection const used =
+        relay_pool_.acquire(peer, effect.address, effect.idempotent, open.attempt_id);
+    begin_exchange(open, {effect.id, used, relay_pool_, peer});
+    if (!used->connected()) {
+        limit_connect_time(used);
+    }
+    used->exchange(
         std::move(message),
         [this, attempt_id = open.attempt_id](http_response const& response) {
             return match(attempt_id, response);
         },
-        [this, effect](exchange_result result) {
-            on_relay_end(effect.id, effect, std::move(result));
+        [this, effect, owner = std::weak_ptr(used)](exchange_result result) {
+            on_relay_end(effect, owner.lock(), std::move(result)); // called by it
         },
-        still_wanted(effect.id), open.body);
+        still_wanted(id), open.body);
 }
 
-void request_forwarder::on_relay_end(request_id id, relay_request const& relay,
+void request_forwarder::on_relay_end(relay_request const& relay, connection const& used,
                                      exchange_result result)
 {
-    auto const found = open_.find(id);
+    auto const found = open_.find(relay.id.request);
     if (found == open_.end()) {
         return;
     }
     open_request& open = found->second;
-    auto const connection = std::move(open.connection);
-    open.connection.reset();
+    end_exchange(open, relay.id);
     if (result.outcome == exchange_outcome::withdrawn) {
-        relay_pool_.release(target_id(relay.address), connection);
-        end_withdrawn(id);
+        relay_pool_.release(target_id(relay.address), used);
+        end_withdrawn(relay.id.request);
         return;
     }
-    relay_ended event{id, relay_end::broken};
+    relay_ended event{relay.id, relay_end::broken};
     if (result.outcome == exchange_outcome::connect_failed) {
         event.end = relay_end::not_sent;
     }
     else if (result.outcome == exchange_outcome::answered) {
         event.end =
             promises_not_run(result.response.result()) ? relay_end::refused : relay_end::answered;
-        relay_pool_.release(target_id(relay.address), connection);
+        relay_pool_.release(target_id(relay.address), used);
     }
     open.may_have_run = open.may_have_run || event.end == relay_end::broken;
     if (event.end != relay_end::answered) {
         log_.event("relay_failed",
                    {{"request", open.attempt_id},
+                    {"send", std::to_string(relay.id.number.value)},
                     {"host", relay.address},
                     {"service", open.service.value},
                     {"end", std::to_string(static_cast<int>(event.end))},
@@ -645,32 +705,32 @@
                                                              : attempt_end::succeeded;
 }
 
-void request_forwarder::on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
-                                        exchange_result result)
+void request_forwarder::on_attempt_end(send_attempt const& attempt, connection const& used,
+                                       bool fresh, exchange_result result)
 {
-    auto const found = open_.find(id);
+    send_id const& id = attempt.attempt.id;
+    target_id const& target = attempt.attempt.target;
+    auto const found = open_.find(id.request);
     if (found == open_.end()) {
         return;
     }
     open_request& open = found->second;
-    auto const connection = std::move(open.connection);
-    open.connection.reset();
+    end_exchange(open, id);
     if (result.outcome == exchange_outcome::withdrawn) {
-        pool_.release(attempt.target, connection);
-        end_withdrawn(id);
+        pool_.release(target, used);
+        end_withdrawn(id.request);
         return;
     }
-    attempt_ended event{
-        id,           attempt.target, classify(result),
-        std::nullopt, std::nullopt,   fresh ? connection->connect_time() : microseconds{0}};
+    attempt_ended event{attempt.attempt, classify(result), std::nullopt, std::nullopt,
+                        fresh ? used->connect_time() : microseconds{0}};
     event.connect_timed_out = result.connect_timed_out;
     if (result.outcome == exchange_outcome::answered) {
         event.load = parse_load(result.response);
         event.notice = parse_notice(result.response);
         if (event.end == attempt_end::refused || event.end == attempt_end::wrong_target) {
-            connection->refused_here.push_back(open.attempt_id);
+            used->refused_here.push_back(open.attempt_id);
         }
-        pool_.release(attempt.target, connection);
+        pool_.release(target, used);
     }
     open.may_have_run =
         open.may_have_run || event.end == attempt_end::failed || event.end == attempt_end::broken;
@@ -678,7 +738,8 @@
         log_.event("attempt_failed",
                    {{"request", open.attempt_id},
                     {"fingerprint", to_hex(open.fingerprint)},
-                    {"target", attempt.target.value},
+                    {"send", std::to_string(id.number.value)},
+                    {"target", target.value},
                     {"service", attempt.service.value},
                     {"end", std::to_string(static_cast<int>(event.end))},
                     {"status", std::to_string(result.response.result_int())},
@@ -691,7 +752,7 @@
         feed(event);
         return;
     }
-    pool_.probe(attempt.target, attempt.address, [this, event](probe_result got) mutable {
+    pool_.probe(target, attempt.address, [this, event](probe_result got) mutable {
         event.target_ended = got == probe_result::refused;
         feed(event);
     });
@@ -699,19 +760,12 @@
 
 void request_forwarder::execute(cancel_attempt const& effect)
 {
-    auto const found = open_.find(effect.id);
-    if (found == open_.end() || !found->second.connection) {
-        return;
-    }
-    open_request& open = found->second;
-    open.may_have_run = open.may_have_run || open.connection->sending();
-    if (effect.overdue) {
-        open.pool->give_up(open.peer, open.connection);
-    }
-    else {
-        open.connection->close();
+    auto const found = open_.find(effect.id.request);
+    if (found == open_.end() || !found->second.exchange ||
+        found->second.exchange->id != effect.id) {
+        return; // its connection has ended, and the target is being probed
     }
-    open.connection.reset();
+    abort_exchange(found->second, effect.overdue);
 }
 
 void request_forwarder::execute(deliver_answer const& effect)
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -113,6 +113,16 @@
     [[nodiscard]] latency_metrics const& metrics() const { return metrics_; }
 
 private:
+    using connection = target_connection_pool::connection;
+
+    /** An exchange with a target or another host. */
+    struct running_exchange {
+        send_id id;
+        connection used;
+        target_connection_pool& pool; ///< of the connection
+        target_id peer;               ///< of the connection, as the pool names it
+    };
+
     struct open_request {
         http_request message;              ///< without its body
         std::shared_ptr<std::string> body; ///< shared with the connection that sends it
@@ -125,12 +135,10 @@
         std::shared_ptr<route_config const> route;
         service_id service;
         mono_time arrived;
-        http_response response; ///< to the last attempt
-        target_connection_pool::connection connection;
-        target_connection_pool* pool = nullptr; ///< of the connection
-        target_id peer;                         ///< of the connection, as the pool names it
-        quota_ticket quota;                     ///< unit of its workspace, if it took one
-        int sends = 0;                          ///< attempts and relays that were begun
+        http_response response;                   ///< to the last attempt
+        std::optional<running_exchange> exchange; ///< the one in progress
+        quota_ticket quota;                       ///< unit of its workspace, if it took one
+        int sends = 0;                            ///< attempts and relays that were begun
         request_credentials credentials;
         bool may_have_run = false; ///< in an attempt that has ended
     };
@@ -163,10 +171,13 @@
     [[nodiscard]] exchange_connection::condition still_wanted(request_id id) const;
     [[nodiscard]] static http_request header_of(open_request const& open, milliseconds time_left,
                                                 std::string const& deadline_name);
-    void limit_connect_time(target_connection_pool::connection const& connection);
-    void on_relay_end(request_id id, relay_request const& relay, exchange_result result);
-    void on_exchange_end(request_id id, send_attempt const& attempt, bool fresh,
-                         exchange_result result);
+    void limit_connect_time(connection const& used);
+    static void begin_exchange(open_request& open, running_exchange exchange);
+    static void end_exchange(open_request& open, send_id const& id);
+    static void abort_exchange(open_request& open, bool overdue);
+    void on_relay_end(relay_request const& relay, connection const& used, exchange_result result);
+    void on_attempt_end(send_attempt const& attempt, connection const& used, bool fresh,
+                        exchange_result result);
     static void respond(http_server& server, call_id call, boost::beast::http::status status,
                         milliseconds retry_after);
     void refuse(http_server& server, call_id call, boost::beast::http::status status) const;
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -174,7 +174,7 @@
     return own_load(now) + std::max(0.0, peers_running_ + unreported_.at(now));
 }
 
-void target_state::attempt_sent(request_id id, object_key const& object, double expected_ms,
+void target_state::attempt_sent(send_id const& id, object_key const& object, double expected_ms,
                                 mono_time now)
 {
     running_[id] = {now, expected_ms};
@@ -250,7 +250,7 @@
 void target_state::attempt_ended(cove::attempt_ended const& event, double time_ratio,
                                  milliseconds cold_period, mono_time now)
 {
-    running_.erase(event.id);
+    running_.erase(event.attempt.id);
     double const beyond_reported = time_ratio / reported_slowness_.at(now);
     if (event.load) {
         record_load(*event.load, now);
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -136,7 +136,8 @@
         return objects_.age(object);
     }
 
-    void attempt_sent(request_id id, object_key const& object, double expected_ms, mono_time now);
+    void attempt_sent(send_id const& id, object_key const& object, double expected_ms,
+                      mono_time now);
 
     /**
      * Updates load, speed and failure statistics after an attempt.
@@ -146,7 +147,7 @@
                        mono_time now);
 
     /** Removes a cancelled attempt. */
-    void attempt_cancelled(request_id id) { running_.erase(id); }
+    void attempt_cancelled(send_id const& id) { running_.erase(id); }
 
 private:
     void back_off(mono_time now);
@@ -155,7 +156,7 @@
 
     target_entry entry_;
     std::uint64_t id_hash_;
-    std::map<request_id, running_attempt> running_;
+    std::map<send_id, running_attempt> running_;
     int peers_running_ = 0;     ///< requests of the other hosts of the zone, by their reports
     decaying_value unreported_; ///< load shown by answers of the target minus known requests
     decaying_value slowness_;   ///< measured, beyond the reported one
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -102,19 +102,19 @@
 
 void traffic::on(attempt_ended const& event)
 {
-    auto const found = requests_.find(event.id);
-    if (found == requests_.end() || found->second.target != event.target) {
+    pending_request* const found = find_in_progress(event.attempt.id);
+    if (found == nullptr) {
         return; // the attempt was cancelled before
     }
-    pending_request& request = found->second;
+    pending_request& request = *found;
     service_id const service = request.service;
     record_outcome(request, event);
     note_crash(request, event);
     request.target.reset();
-    request.tried.insert(event.target);
+    request.tried.insert(event.attempt.target);
     if (event.end == attempt_end::succeeded || request.client_disconnected) {
-        effects_.push_back(deliver_answer{event.id});
-        remove_request(event.id);
+        effects_.push_back(deliver_answer{request.id});
+        remove_request(request.id);
     }
     else {
         after_failure(request, event);
@@ -130,10 +130,11 @@
         crashes_.note_completed(request.fingerprint, now_);
         return;
     }
-    auto const target = targets_.find(event.target);
+    auto const target = targets_.find(event.attempt.target);
     if (event.end == attempt_end::broken && event.target_ended && target != targets_.end()) {
-        crashes_.note_end(request.fingerprint,
-                          {event.target, target->second.entry().incarnation, settings_.host}, now_);
+        crashes_.note_end(
+            request.fingerprint,
+            {event.attempt.target, target->second.entry().incarnation, settings_.host}, now_);
     }
 }
 
@@ -144,8 +145,7 @@
         effects_.emplace_back(log_blocked_request{record});
         std::vector<request_id> queued;
         for (auto const& [id, request] : requests_) {
-            bool const waits = !request.target && !request.relaying;
-            if (request.fingerprint == record.fingerprint && waits) {
+            if (request.fingerprint == record.fingerprint && !request.in_progress()) {
                 queued.push_back(id);
             }
         }
@@ -210,7 +210,7 @@
 
 void traffic::record_outcome(pending_request const& request, attempt_ended const& event)
 {
-    auto const found = targets_.find(event.target);
+    auto const found = targets_.find(event.attempt.target);
     if (found == targets_.end()) {
         return;
     }
@@ -244,7 +244,7 @@
     target.attempt_ended(event, elapsed_ms / std::max(0.1, expected_ms),
                          service_settings_[request.service].cold_period, now_);
     if (event.notice && event.notice->leaving &&
-        left_targets_.note(event.target, target.entry().incarnation, now_)) {
+        left_targets_.note(event.attempt.target, target.entry().incarnation, now_)) {
         object_balances_[request.service].targets_changed();
     }
     if (target.limit_to_report(now_)) {
@@ -277,13 +277,13 @@
         return;
     }
     pending_request& request = found->second;
-    if ((request.target || request.relaying) && !request.route->idempotent && !event.unsent) {
+    if (request.in_progress() && !request.route->idempotent && !event.unsent) {
         request.client_disconnected = true; // it cannot be retried, so cancelling it has no use
         return;
     }
     service_id const service = request.service;
-    if (request.target || request.relaying) {
-        effects_.push_back(cancel_attempt{event.id});
+    if (request.in_progress()) {
+        abandon_send(request, false);
     }
     remove_request(event.id);
     dispatch_queue(service);
@@ -461,7 +461,7 @@
 {
     answers_due_ = event.answers_due;
     for (auto& [id, request] : requests_) {
-        if (!request.target && !request.relaying) {
+        if (!request.in_progress()) {
             request.expires = std::min(request.expires, event.answers_due);
         }
     }
@@ -472,7 +472,7 @@
 {
     std::vector<request_id> running;
     for (auto const& [id, request] : requests_) {
-        if (request.target || request.relaying) {
+        if (request.in_progress()) {
             running.push_back(id);
         }
     }
@@ -491,12 +491,12 @@
     constexpr double late_answer_factor = 2;     // so late, the link may be cut; probes tell
     constexpr double late_answer_floor_ms = 250;
     if (now_ >= request.expires + timeout_grace) {
-        effects_.push_back(cancel_attempt{request.id, true});
+        abandon_send(request, true);
         refuse(request.id, refusal::gave_up, milliseconds{0});
         return;
     }
     if (answers_due_ && now_ >= *answers_due_ && request.expires > *answers_due_) {
-        effects_.push_back(cancel_attempt{request.id});
+        abandon_send(request, false);
         refuse(request.id, refusal::lost_answer, milliseconds{0});
         return;
     }
@@ -542,10 +542,7 @@
         if (!retry_limiter_.take(request.service, hosts_in_total_, now_)) {
             return;
         }
-        effects_.push_back(cancel_attempt{request.id, true});
-        if (auto const found = targets_.find(previous); found != targets_.end()) {
-            found->second.attempt_cancelled(request.id);
-        }
+        abandon_send(request, true);
         request.may_have_run = true;
         send(request, option);
         return;
@@ -558,16 +555,32 @@
     if (found == requests_.end()) {
         return;
     }
-    if (found->second.target) {
-        auto const target = targets_.find(*found->second.target);
-        if (target != targets_.end()) {
-            target->second.attempt_cancelled(id);
-        }
-    }
     std::erase(queues_[found->second.service], id);
     requests_.erase(found);
 }
 
+/** @return the request whose send in progress is @p id; null if that send was cancelled. */
+pending_request* traffic::find_in_progress(send_id const& id)
+{
+    auto const found = requests_.find(id.request);
+    bool const current =
+        found != requests_.end() && found->second.in_progress() && found->second.last_send() == id;
+    return current ? &found->second : nullptr;
+}
+
+/** Cancels the send in progress, so that the request can be sent again or be answered. */
+void traffic::abandon_send(pending_request& request, bool overdue)
+{
+    effects_.push_back(cancel_attempt{request.last_send(), overdue});
+    if (request.target) {
+        if (auto const found = targets_.find(*request.target); found != targets_.end()) {
+            found->second.attempt_cancelled(request.last_send());
+        }
+    }
+    request.target.reset();
+    request.relaying = false;
+}
+
 void traffic::refuse(request_id id, refusal reason, milliseconds until_slot_free)
 {
     pending_request const& request = requests_.at(id);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -33,6 +33,12 @@
 
 /** A request that is queued or in progress. */
 struct pending_request {
+    /** @return whether it is at a target or another host. */
+    [[nodiscard]] bool in_progress() const { return target.has_value() || relaying; }
+
+    /** @return the identity of the latest send. */
+    [[nodiscard]] send_id last_send() const { return {id, sends}; }
+
     request_id id;
     std::shared_ptr<route_config const> route;
     service_id service;
@@ -51,6 +57,7 @@
     int max_attempts = 1; ///< targets that this host may send it to, or let other hosts send it to
     int attempts = 0;     ///< of these, used so far
     int unsent_attempts = 0; ///< that got no connection
+    send_number sends;       ///< attempts and relays that were begun
     bool may_have_run = false;
     bool client_disconnected = false; ///< the run at the target continues without a client
     bool relayed = false;             ///< by another host; must not be relayed again
@@ -201,6 +208,8 @@
     [[nodiscard]] milliseconds pause_left(service_id const& service) const;
     void refuse(request_id id, refusal reason, milliseconds until_slot_free);
     void remove_request(request_id id);
+    [[nodiscard]] pending_request* find_in_progress(send_id const& id);
+    void abandon_send(pending_request& request, bool overdue);
     void check_attempt(pending_request& request);
     void retry_on_other_target(pending_request& request);
 
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -7,19 +7,18 @@
 
 namespace cove {
 
-/** Send the request to a target. */
+/** Send the request to a target. No other send of it is in progress. */
 struct send_attempt {
-    request_id id;
-    target_id target;
+    target_attempt attempt;
     service_id service;
     std::string address;
     milliseconds time_left{}; ///< until the target must have answered
     bool idempotent = false;  ///< may run twice, so a broken connection costs only a retry
 };
 
-/** Cancel the attempt in progress and discard its result. */
+/** Cancel an attempt or a relay and discard its result, unless it has ended already. */
 struct cancel_attempt {
-    request_id id;
+    send_id id;
     bool overdue = false; ///< because its answer is
 };
 
@@ -57,9 +56,9 @@
     crash_record record;
 };
 
-/** Let another host carry the request. */
+/** Let another host carry the request. No other send of it is in progress. */
 struct relay_request {
-    request_id id;
+    send_id id;
     std::string address; ///< IP:port of the host
     milliseconds time_left{};
     bool idempotent = false;
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -1,9 +1,9 @@
 #pragma once
 /** @file Events: the inputs of the traffic reducer. */
 
-#include "core/strong_type.h"
 #include "route/route_type.h"
 #include "traffic/crash_type.h"
+#include "traffic/send_type.h"
 #include "traffic/target_type.h"
 
 #include <map>
@@ -15,8 +15,6 @@
 
 namespace cove {
 
-using request_id = strong_number<struct request_tag>; ///< identifies a request within this host
-
 /** What the workspace of a request, or the host that relays it, adds to the rules of its route. */
 struct request_terms {
     workspace_id workspace;              ///< empty: none
@@ -55,9 +53,9 @@
     milliseconds pause{};        ///< for this long it wants no requests of this host; zero: none
 };
 
+/** The end of an attempt. It may be reported after the request has been sent elsewhere. */
 struct attempt_ended {
-    request_id id;
-    target_id target;
+    target_attempt attempt; ///< of its send_attempt
     attempt_end end = attempt_end::broken;
     std::optional<target_load> load;
     std::optional<target_notice> notice; ///< present if an answer arrived
@@ -78,7 +76,7 @@
 
 /** The end of a request that was relayed to another host. */
 struct relay_ended {
-    request_id id;
+    send_id id; ///< of its relay_request
     relay_end end = relay_end::broken;
 };
 
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -466,6 +466,7 @@
     target_state& target = *option.candidate->target;
     target_entry const& entry = target.entry();
     request.target = entry.id;
+    ++request.sends.value;
     request.queued_for = nullptr;
     request.sent = now_;
     auto const rtt = rtt_ms_.find(entry.zone);
@@ -477,10 +478,12 @@
         workspace_shares_[request.service].served(request.place.priority, request.workspace, now_);
     }
     count_sent(request, entry.zone);
-    target.attempt_sent(request.id, request.object, option.service_ms, now_);
+    target.attempt_sent(request.last_send(), request.object, option.service_ms, now_);
     option.candidate->load += 1;
     effects_.push_back(
-        send_attempt{request.id, entry.id, entry.service, entry.address,
+        send_attempt{{request.last_send(), entry.id},
+                     entry.service,
+                     entry.address,
                      std::chrono::duration_cast<milliseconds>(request.expires - now_),
                      request.route->idempotent});
 }
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -57,11 +57,7 @@
             !retry_limiter_.take(request.service, hosts_in_total_, now_)) {
             continue;
         }
-        effects_.emplace_back(cancel_attempt{id});
-        if (auto const target = targets_.find(*request.target); target != targets_.end()) {
-            target->second.attempt_cancelled(id);
-        }
-        request.target.reset();
+        abandon_send(request, false);
         request.may_have_run = true;
         queues_[request.service].push_back(id);
     }
@@ -118,27 +114,29 @@
     }
     std::erase(queues_[request.service], request.id);
     request.relaying = true;
+    ++request.sends.value;
     request.relays.insert(host->address);
     request.queued_for = nullptr;
     request.sent = now_;
     count_sent(request, host->zone);
-    effects_.emplace_back(relay_request{
-        request.id, host->address, std::chrono::duration_cast<milliseconds>(request.expires - now_),
-        request.route->idempotent, request.max_attempts - request.attempts});
+    effects_.emplace_back(
+        relay_request{request.last_send(), host->address,
+                      std::chrono::duration_cast<milliseconds>(request.expires - now_),
+                      request.route->idempotent, request.max_attempts - request.attempts});
     return true;
 }
 
 void traffic::on(relay_ended const& event)
 {
-    auto const found = requests_.find(event.id);
-    if (found == requests_.end() || !found->second.relaying) {
-        return; // it was cancelled before
+    pending_request* const found = find_in_progress(event.id);
+    if (found == nullptr) {
+        return; // the relay was cancelled before
     }
-    pending_request& request = found->second;
+    pending_request& request = *found;
     request.relaying = false;
     if (event.end == relay_end::answered || request.client_disconnected) {
-        effects_.push_back(deliver_answer{event.id});
-        remove_request(event.id);
+        effects_.push_back(deliver_answer{request.id});
+        remove_request(request.id);
         return;
     }
     bool const may_have_run = event.end == relay_end::broken;
@@ -150,11 +148,11 @@
         relay(request);
     }
     else if (event.end == relay_end::refused && !request.may_have_run) {
-        effects_.push_back(deliver_answer{event.id}); // with the time to come back
-        remove_request(event.id);
+        effects_.push_back(deliver_answer{request.id}); // with the time to come back
+        remove_request(request.id);
     }
     else {
-        refuse(event.id, refusal::no_room, milliseconds{0});
+        refuse(request.id, refusal::no_room, milliseconds{0});
     }
 }
 
--- /dev/null
+++ b/tests/host/dark_target_test.cpp
@@ -0,0 +1,108 @@
+/** @file Targets that end and do not answer attempts to connect, so that their end is noted late.
+ */
+
+#include "support/crashing_target.h"
+#include "support/cut_link.h"
+#include "support/host_case.h"
+
+#include <array>
+
+namespace cove {
+namespace {
+
+/** Two targets, each behind a link that can be cut, and a route that allows three attempts. */
+class dark_target : public host_case {
+protected:
+    static constexpr milliseconds service_time{70};
+    static constexpr milliseconds time_to_end{50};     ///< of a target, from the request on
+    static constexpr milliseconds time_to_return{300}; ///< of the other target
+    /// Of the other target then: the exchanges that were begun before end meanwhile.
+    static constexpr milliseconds long_service_time{250};
+    static constexpr int warm_up_requests = 6;
+
+    dark_target()
+    {
+        config_document document = desk_config(1, "/a/", true);
+        document.config.routes[0].max_attempts = 3;
+        document.config.routes[0].objective = service_time; // the first estimate of it
+        // One that is back takes requests at once, as the lone host knows no part of a rate.
+        document.config.services[service_id("desk")].cold_period = milliseconds{0};
+        store.config(document);
+        std::vector<target_entry> entries;
+        for (std::size_t i = 0; i < targets.size(); ++i) {
+            targets[i] = std::make_unique<crashing_target>(
+                loop, served, [](std::string const&) { return false; });
+            targets[i]->service_time = service_time;
+            links[i] = std::make_unique<cut_link>(loop, endpoint_of(targets[i]->address()));
+            target_entry entry;
+            entry.id = target_id("t" + std::to_string(i));
+            entry.service = service_id("desk");
+            entry.address = links[i]->address();
+            entry.zone = zone_id("east");
+            entry.slots = 4;
+            entries.push_back(entry);
+        }
+        // With a target that does not fail, the host does not take itself for cut off.
+        entries.push_back(entries.back());
+        entries.back().id = target_id("t2");
+        entries.back().service = service_id("other");
+        store.targets_listed({entries, position(1)});
+    }
+
+    /** Sends a request. @return the index of the target that runs it. */
+    std::size_t send(std::function<void(unsigned status)> const& done)
+    {
+        std::array const before{targets[0]->requests, targets[1]->requests};
+        auto const connection = std::make_shared<exchange_connection>(
+            loop, endpoint_of(client_address), exchange_limits{});
+        http_request request(boost::beast::http::verb::put, "/a/1", 11);
+        request.set(boost::beast::http::field::host, "desk.example");
+        request.set("Attempt", "a1");
+        request.set("Deadline", "1500");
+        request.prepare_payload();
+        connection->exchange(std::move(request), nullptr,
+                             [connection, done](exchange_result const& result) {
+                                 done(result.response.result_int());
+                             });
+        EXPECT_TRUE(run_until(loop, [&] {
+            return targets[0]->requests > before[0] || targets[1]->requests > before[1];
+        }));
+        return targets[0]->requests > before[0] ? 0 : 1;
+    }
+
+    void wait(milliseconds time)
+    {
+        run_until(
+            loop, [] { return false; }, time);
+    }
+
+    std::array<std::unique_ptr<crashing_target>, 2> targets;
+    std::array<std::unique_ptr<cut_link>, 2> links;
+};
+
+// A host ended with signal 11: the end of the first attempt, which waits for a probe, was taken for
+// that of a later attempt at the same target, and the ends of two exchanges met one connection.
+TEST_F(dark_target, that_a_request_comes_back_to_does_not_end_the_host)
+{
+    for (int i = 0; i < warm_up_requests; ++i) {
+        ASSERT_EQ(status("/a/0"), 200U);
+    }
+    std::optional<unsigned> answered;
+    std::size_t const first = send([&](unsigned status) { answered = status; });
+    std::size_t const other = 1 - first;
+    wait(time_to_end);
+    links[first]->cut(link_cut::dark);
+    links[other]->cut(link_cut::reset);
+    wait(time_to_return);
+    links[other]->mend();
+    targets[other]->service_time = long_service_time;
+    EXPECT_TRUE(run_until(loop, [&] { return answered.has_value(); }));
+    EXPECT_EQ(answered, 200U);
+    auto const text = exchange_once(loop, metrics_address,
+                                    http_request(boost::beast::http::verb::get, "/metrics", 11));
+    EXPECT_NE(text.response.body().find("cove_failed_requests 0"), std::string::npos)
+        << text.response.body();
+}
+
+} // namespace
+} // namespace cove
--- a/tests/support/cut_link.h
+++ b/tests/support/cut_link.h
@@ -13,6 +13,7 @@
     reset,  ///< open ones are reset, new ones refused
     closed, ///< open ones live on, new ones are refused
     mute,   ///< open ones hang, though what is sent on them is acknowledged; new ones work
+    dark,   ///< open ones are reset, attempts to connect get no reply
 };
 
 /** Forwards connections to one address. */
@@ -36,13 +37,13 @@
         if (how != link_cut::mute) {
             acceptor_.close(ignored);
         }
-        if (how == link_cut::silent) {
+        if (how == link_cut::silent || how == link_cut::dark) {
             fill_backlog();
         }
         for (auto const& weak : pipes_) {
             if (auto const pipe = weak.lock()) {
                 pipe->hangs = how == link_cut::silent || how == link_cut::mute;
-                if (how == link_cut::reset) {
+                if (how == link_cut::reset || how == link_cut::dark) {
                     pipe->near.set_option(boost::asio::socket_base::linger(true, 0), ignored);
                     pipe->near.close(ignored);
                     pipe->far.close(ignored);
--- a/tests/traffic/attempt_test.cpp
+++ b/tests/traffic/attempt_test.cpp
@@ -27,13 +27,13 @@
     auto const id = fixture.arrive("object");
     auto const sent = fixture.single<send_attempt>();
     ASSERT_TRUE(sent);
-    fixture.end(id, sent->target, GetParam().end);
+    fixture.end(id, sent->attempt.target, GetParam().end);
     auto const again = fixture.single<send_attempt>();
     auto const self = fixture.single<answer_locally>();
     switch (GetParam().outcome) {
     case expected_outcome::another_attempt:
         ASSERT_TRUE(again);
-        EXPECT_NE(again->target, sent->target);
+        EXPECT_NE(again->attempt.target, sent->attempt.target);
         break;
     case expected_outcome::answer_of_target:
         EXPECT_TRUE(fixture.single<deliver_answer>());
@@ -78,8 +78,8 @@
     fixture.list(4);
     fixture.route.idempotent = false;
     auto const id = fixture.arrive("object");
-    fixture.end(id, fixture.single<send_attempt>()->target, attempt_end::refused);
-    fixture.end(id, fixture.single<send_attempt>()->target, attempt_end::refused);
+    fixture.end(id, fixture.single<send_attempt>()->attempt.target, attempt_end::refused);
+    fixture.end(id, fixture.single<send_attempt>()->attempt.target, attempt_end::refused);
     EXPECT_FALSE(fixture.single<send_attempt>());
     ASSERT_TRUE(fixture.single<answer_locally>());
     EXPECT_EQ(fixture.single<answer_locally>()->reason, refusal::no_room);
@@ -90,8 +90,8 @@
     traffic_fixture fixture;
     fixture.list(2);
     auto const id = fixture.arrive("object");
-    fixture.end(id, fixture.single<send_attempt>()->target, attempt_end::broken);
-    fixture.end(id, fixture.single<send_attempt>()->target, attempt_end::refused);
+    fixture.end(id, fixture.single<send_attempt>()->attempt.target, attempt_end::broken);
+    fixture.end(id, fixture.single<send_attempt>()->attempt.target, attempt_end::refused);
     ASSERT_TRUE(fixture.single<answer_locally>());
     EXPECT_EQ(fixture.single<answer_locally>()->reason, refusal::lost_answer);
 }
@@ -105,10 +105,10 @@
     constexpr int requests = 200;
     for (int i = 0; i < requests; ++i) {
         auto const id = fixture.arrive("object" + std::to_string(i));
-        fixture.end(id, fixture.single<send_attempt>()->target, attempt_end::failed);
+        fixture.end(id, fixture.single<send_attempt>()->attempt.target, attempt_end::failed);
         if (auto const again = fixture.single<send_attempt>()) {
             ++retries;
-            fixture.end(id, again->target, attempt_end::succeeded);
+            fixture.end(id, again->attempt.target, attempt_end::succeeded);
         }
     }
     EXPECT_GT(retries, 0);
@@ -138,11 +138,11 @@
     traffic_fixture fixture;
     fixture.list(2, 1);
     auto const first = fixture.arrive("object");
-    auto const at = fixture.single<send_attempt>()->target;
+    auto const at = fixture.single<send_attempt>()->attempt.target;
     fixture.route.idempotent = false;
     fixture.arrive("another"); // takes the only slot of the other target
     ASSERT_TRUE(fixture.single<send_attempt>());
-    auto const busy = fixture.single<send_attempt>()->target;
+    auto const busy = fixture.single<send_attempt>()->attempt.target;
     fixture.advance(milliseconds{900});
     EXPECT_TRUE(traffic_fixture::of_kind<cancel_attempt>(fixture.advance_effects).empty());
     // A success would teach that answers take 900 ms, which delays the move.
@@ -150,8 +150,8 @@
     fixture.advance(milliseconds{40});
     auto const moved = traffic_fixture::of_kind<send_attempt>(fixture.advance_effects);
     ASSERT_EQ(moved.size(), 1U);
-    EXPECT_EQ(moved[0].id, first);
-    EXPECT_NE(moved[0].target, at);
+    EXPECT_EQ(moved[0].attempt.id.request, first);
+    EXPECT_NE(moved[0].attempt.target, at);
 }
 
 // Guards against a second run of requests whose target merely takes the time of a cold object: the
@@ -169,7 +169,7 @@
             auto const sent = fixture.single<send_attempt>();
             ASSERT_TRUE(sent);
             fixture.advance(time);
-            fixture.end(id, sent->target, attempt_end::succeeded);
+            fixture.end(id, sent->attempt.target, attempt_end::succeeded);
         }
     }
     fixture.advance_effects.clear();
@@ -197,7 +197,7 @@
         fixture.list(1);
         fixture.route.idempotent = idempotent;
         auto const id = fixture.arrive();
-        auto const target = fixture.single<send_attempt>()->target;
+        auto const target = fixture.single<send_attempt>()->attempt.target;
         fixture.feed(client_disconnected{id});
         EXPECT_EQ(fixture.single<cancel_attempt>().has_value(), idempotent);
         fixture.end(id, target, attempt_end::succeeded);
@@ -210,7 +210,7 @@
     traffic_fixture fixture;
     fixture.list(1, 1);
     auto const running = fixture.arrive();
-    auto const target = fixture.single<send_attempt>()->target;
+    auto const target = fixture.single<send_attempt>()->attempt.target;
     auto const waiting = fixture.arrive();
     EXPECT_TRUE(fixture.effects.empty());
     fixture.feed(client_disconnected{waiting});
@@ -240,7 +240,7 @@
                         end == attempt_end::broken
                     ? 1
                     : 0;
-        fixture.end(id, sent->target, end);
+        fixture.end(id, sent->attempt.target, end);
     }
     fixture.advance(milliseconds{2500});
     RC_ASSERT(runs <= 1);
--- a/tests/traffic/change_order_test.cpp
+++ b/tests/traffic/change_order_test.cpp
@@ -46,8 +46,8 @@
             fixture.feed(request_arrived{id, std::make_shared<route_config const>(fixture.route),
                                          service_id(name), object_key(), "c", milliseconds{1000}});
             if (auto const sent = fixture.single<send_attempt>()) {
-                out.insert(sent->target);
-                fixture.end(id, sent->target, attempt_end::succeeded);
+                out.insert(sent->attempt.target);
+                fixture.end(id, sent->attempt.target, attempt_end::succeeded);
             }
             else {
                 fixture.feed(client_disconnected{id}); // it waits for a target
--- a/tests/traffic/crash_test.cpp
+++ b/tests/traffic/crash_test.cpp
@@ -121,10 +121,7 @@
     /** The target ends while it runs the request. */
     traffic_effects const& crash(request_id id, target_id const& target)
     {
-        attempt_ended event;
-        event.id = id;
-        event.target = target;
-        event.end = attempt_end::broken;
+        attempt_ended event = ended(id, target, attempt_end::broken);
         event.target_ended = true;
         return feed(event);
     }
@@ -143,7 +140,7 @@
     for (int i = 0; i < 3; ++i) {
         request_id const id = arrive_as(7);
         ASSERT_TRUE(sent());
-        crash(id, sent()->target);
+        crash(id, sent()->attempt.target);
         ASSERT_EQ(of_kind<answer_locally>(effects).size(), 1U);
         EXPECT_EQ(of_kind<report_crashes>(effects).size(), 1U);
     }
@@ -161,7 +158,7 @@
     for (int i = 0; i < 5; ++i) {
         request_id const id = arrive_as(7);
         ASSERT_TRUE(sent());
-        end(id, sent()->target, attempt_end::broken);
+        end(id, sent()->attempt.target, attempt_end::broken);
         EXPECT_TRUE(of_kind<report_crashes>(effects).empty());
     }
 }
@@ -170,16 +167,16 @@
 {
     list(6, 4);
     request_id const fatal = arrive_as(7, "object");
-    target_id const first = sent()->target;
+    target_id const first = sent()->attempt.target;
     request_id const beside = arrive_as(8, "object");
-    ASSERT_EQ(sent()->target, first);
+    ASSERT_EQ(sent()->attempt.target, first);
     crash(fatal, first);
     ASSERT_TRUE(sent());
-    target_id const second = sent()->target;
+    target_id const second = sent()->attempt.target;
     crash(beside, first);
     ASSERT_TRUE(sent());
-    EXPECT_NE(sent()->target, second);
-    end(beside, sent()->target, attempt_end::succeeded);
+    EXPECT_NE(sent()->attempt.target, second);
+    end(beside, sent()->attempt.target, attempt_end::succeeded);
     auto const reports = of_kind<report_crashes>(effects);
     ASSERT_EQ(reports.size(), 1U);
     EXPECT_TRUE(reports[0].records.at(0).ends.at(0).acquitted);
@@ -206,7 +203,7 @@
     list(6);
     request_id const id = arrive_as(7);
     ASSERT_TRUE(sent());
-    target_id const target = sent()->target;
+    target_id const target = sent()->attempt.target;
     crash_record const report{
         request_fingerprint(7), {end_of("x0"), end_of("x1"), end_of("x2")}, milliseconds{10}};
     feed(crashes_reported{{report}});
@@ -234,7 +231,7 @@
     list(6);
     request_id const running = arrive_as(7);
     ASSERT_TRUE(sent());
-    target_id const target = sent()->target;
+    target_id const target = sent()->attempt.target;
     crash_record const report{
         request_fingerprint(7), {end_of("x0"), end_of("x1"), end_of("x2")}, milliseconds{10}};
     feed(crashes_reported{{report}});
@@ -249,12 +246,12 @@
     list(6, 2);
     request_id const completed = arrive_as(7);
     ASSERT_TRUE(sent());
-    end(completed, sent()->target, attempt_end::succeeded);
+    end(completed, sent()->attempt.target, attempt_end::succeeded);
     std::map<request_id, target_id> running;
     for (int i = 0; i < 9; ++i) {
         request_id const id = arrive_as(7, std::to_string(i));
         if (sent()) {
-            running[id] = sent()->target;
+            running[id] = sent()->attempt.target;
         }
     }
     EXPECT_GE(running.size(), 3U);
@@ -272,7 +269,7 @@
     for (std::uint64_t i = 0; i < 60; ++i) {
         request_id const id = arrive_as(100 + i);
         if (sent()) {
-            running[id] = sent()->target;
+            running[id] = sent()->attempt.target;
         }
     }
     for (auto const& [id, target] : running) {
--- a/tests/traffic/equal_targets_test.cpp
+++ b/tests/traffic/equal_targets_test.cpp
@@ -18,7 +18,7 @@
     std::vector<std::pair<mono_time, send_attempt>> running;
     auto const start_sent = [&](traffic_effects const& effects) {
         for (send_attempt const& each : traffic_fixture::of_kind<send_attempt>(effects)) {
-            ++sent[each.target];
+            ++sent[each.attempt.target];
             running.emplace_back(host.now + service_time, each);
         }
     };
@@ -28,7 +28,8 @@
         running.clear();
         for (auto const& [end, each] : due) {
             if (end <= host.now) {
-                start_sent(host.end(each.id, each.target, attempt_end::succeeded));
+                start_sent(
+                    host.end(each.attempt.id.request, each.attempt.target, attempt_end::succeeded));
             }
             else {
                 running.emplace_back(end, each);
--- a/tests/traffic/long_queue_test.cpp
+++ b/tests/traffic/long_queue_test.cpp
@@ -25,7 +25,7 @@
         for (std::size_t i = 0; i < 2 * count && reducer.queued_requests() < count; ++i) {
             request_id const id = arrive(objects == 0 ? "" : "o" + std::to_string(next % objects));
             if (auto const sent = single<send_attempt>()) {
-                running[id] = sent->target;
+                running[id] = sent->attempt.target;
             }
         }
         ASSERT_EQ(reducer.queued_requests(), count);
@@ -43,10 +43,7 @@
     {
         auto const [id, target] = *running.begin();
         running.erase(running.begin());
-        attempt_ended event;
-        event.id = id;
-        event.target = target;
-        event.end = attempt_end::succeeded;
+        attempt_ended const event = ended(id, target, attempt_end::succeeded);
         now += milliseconds{1};
         return ranked_by(event);
     }
--- a/tests/traffic/notice_test.cpp
+++ b/tests/traffic/notice_test.cpp
@@ -97,12 +97,9 @@
         while (!sends.empty()) {
             std::vector<send_attempt> more;
             for (send_attempt const& sent : sends) {
-                bool const limited = names_limit && sent.target == target_id("t0");
-                arrivals[sent.target] += 1;
-                attempt_ended event;
-                event.id = sent.id;
-                event.target = sent.target;
-                event.end = attempt_end::succeeded;
+                bool const limited = names_limit && sent.attempt.target == target_id("t0");
+                arrivals[sent.attempt.target] += 1;
+                attempt_ended event = traffic_fixture::ended(sent, attempt_end::succeeded);
                 event.notice = target_notice{limited ? std::optional(limit) : std::nullopt};
                 host.feed(event);
                 auto const next = traffic_fixture::of_kind<send_attempt>(host.effects);
@@ -140,10 +137,7 @@
     host.arrive();
     auto const sent = host.single<send_attempt>();
     ASSERT_TRUE(sent);
-    attempt_ended event;
-    event.id = sent->id;
-    event.target = sent->target;
-    event.end = attempt_end::succeeded;
+    attempt_ended event = traffic_fixture::ended(*sent, attempt_end::succeeded);
     event.notice = target_notice{std::nullopt, true};
     host.feed(event);
     host.feed(targets_listed{{}});
--- a/tests/traffic/relay_test.cpp
+++ b/tests/traffic/relay_test.cpp
@@ -134,7 +134,7 @@
             // Each attempt gets no connection, until the request is given up.
             for (auto sent = of_kind<send_attempt>(effects); !sent.empty();
                  sent = of_kind<send_attempt>(effects)) {
-                end(id, sent.back().target, attempt_end::not_connected);
+                end(id, sent.back().attempt.target, attempt_end::not_connected);
             }
         }
         advance(milliseconds{300});
@@ -170,7 +170,7 @@
         request_id const id = arrive("o" + std::to_string(i));
         for (auto sent = of_kind<send_attempt>(effects); !sent.empty();
              sent = of_kind<send_attempt>(effects)) {
-            target_id const target = sent.back().target;
+            target_id const target = sent.back().attempt.target;
             bool const open = target == target_id("t0"); // the only one with an open connection
             end(id, target, open ? attempt_end::succeeded : attempt_end::not_connected);
         }
@@ -189,7 +189,7 @@
     ASSERT_TRUE(relayed);
     EXPECT_EQ(relayed->address, same_zone.address);
     EXPECT_GT(relayed->time_left, milliseconds{0});
-    feed(relay_ended{id, relay_end::answered});
+    end_relay(id, relay_end::answered);
     EXPECT_TRUE(single<deliver_answer>());
     EXPECT_EQ(reducer.open_requests(), 0U);
 }
@@ -230,7 +230,7 @@
     request_id const id = arrive();
     ASSERT_TRUE(single<relay_request>());
     EXPECT_EQ(single<relay_request>()->address, other_region.address);
-    feed(relay_ended{id, relay_end::refused});
+    end_relay(id, relay_end::refused);
     EXPECT_TRUE(single<deliver_answer>()); // with the time to come back that the other host names
     EXPECT_EQ(reducer.open_requests(), 0U);
 }
@@ -248,7 +248,7 @@
     route.home_regions = {region_id("s")};
     arrive();
     ASSERT_TRUE(single<send_attempt>());
-    EXPECT_EQ(single<send_attempt>()->target, target_id("far"));
+    EXPECT_EQ(single<send_attempt>()->attempt.target, target_id("far"));
     arrive();
     EXPECT_TRUE(single<relay_request>());
 }
@@ -283,10 +283,10 @@
     request_id const id = arrive();
     ASSERT_TRUE(single<relay_request>());
     std::string const first = single<relay_request>()->address;
-    feed(relay_ended{id, relay_end::refused});
+    end_relay(id, relay_end::refused);
     ASSERT_TRUE(single<relay_request>());
     EXPECT_NE(single<relay_request>()->address, first);
-    feed(relay_ended{id, relay_end::refused});
+    end_relay(id, relay_end::refused);
     EXPECT_TRUE(single<deliver_answer>());
 }
 
@@ -297,7 +297,7 @@
     cut();
     report_relays({same_zone, same_zone_too});
     request_id const id = arrive();
-    feed(relay_ended{id, relay_end::broken});
+    end_relay(id, relay_end::broken);
     ASSERT_TRUE(single<answer_locally>());
     EXPECT_EQ(single<answer_locally>()->reason, refusal::lost_answer);
 }
@@ -308,7 +308,7 @@
     list(6);
     arrive_relayed(1);
     ASSERT_TRUE(single<send_attempt>());
-    end(request_id(999), single<send_attempt>()->target, attempt_end::broken);
+    end(request_id(999), single<send_attempt>()->attempt.target, attempt_end::broken);
     EXPECT_TRUE(of_kind<send_attempt>(effects).empty());
     ASSERT_TRUE(single<answer_locally>());
     EXPECT_EQ(single<answer_locally>()->reason, refusal::lost_answer);
@@ -320,7 +320,7 @@
     list(6);
     arrive_relayed(5);
     ASSERT_TRUE(single<send_attempt>());
-    end(request_id(999), single<send_attempt>()->target, attempt_end::broken);
+    end(request_id(999), single<send_attempt>()->attempt.target, attempt_end::broken);
     EXPECT_TRUE(of_kind<send_attempt>(effects).empty());
 }
 
@@ -348,11 +348,11 @@
     all.insert(all.end(), effects.begin(), effects.end());
     int used = 0;
     for (auto const& sent : of_kind<send_attempt>(all)) {
-        used += sent.id == id ? 1 : 0;
+        used += sent.attempt.id.request == id ? 1 : 0;
     }
     EXPECT_GE(used, 1);
     for (auto const& relayed : of_kind<relay_request>(all)) {
-        used += relayed.id == id ? relayed.attempts_left : 0;
+        used += relayed.id.request == id ? relayed.attempts_left : 0;
     }
     EXPECT_EQ(used, GetParam());
 }
@@ -367,7 +367,7 @@
     request_id const id = arrive();
     ASSERT_TRUE(single<relay_request>());
     EXPECT_EQ(single<relay_request>()->attempts_left, 2);
-    feed(relay_ended{id, relay_end::broken});
+    end_relay(id, relay_end::broken);
     EXPECT_TRUE(of_kind<relay_request>(effects).empty());
     ASSERT_TRUE(single<answer_locally>());
     EXPECT_EQ(single<answer_locally>()->reason, refusal::lost_answer);
@@ -379,11 +379,50 @@
     cut();
     report_relays({same_zone, same_zone_too});
     request_id const id = arrive();
-    feed(relay_ended{id, relay_end::refused});
+    end_relay(id, relay_end::refused);
     ASSERT_TRUE(single<relay_request>());
     EXPECT_EQ(single<relay_request>()->attempts_left, 2);
 }
 
+// An end named the request alone, so it was taken for that of the relay in progress.
+TEST_F(relay_case, the_end_of_an_earlier_relay_does_not_end_a_later_one)
+{
+    list(6);
+    cut();
+    report_relays({same_zone, same_zone_too});
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    relay_request const first = *single<relay_request>();
+    end_relay(id, relay_end::refused);
+    ASSERT_TRUE(single<relay_request>());
+    for (relay_end const late : {relay_end::broken, relay_end::refused, relay_end::answered}) {
+        feed(relay_ended{first.id, late});
+        EXPECT_TRUE(effects.empty());
+    }
+    end_relay(id, relay_end::answered);
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
+TEST_F(relay_case, a_relay_and_an_attempt_are_not_ended_by_the_ends_of_each_other)
+{
+    route.timeout = deadline = milliseconds{20'000};
+    list(6);
+    request_id const id = arrive("first");
+    ASSERT_TRUE(single<send_attempt>());
+    send_attempt const attempt = *single<send_attempt>();
+    lose_links();
+    report_relays({same_zone});
+    ASSERT_TRUE(relays.contains(id));
+    feed(ended(attempt, attempt_end::succeeded));
+    EXPECT_TRUE(of_kind<deliver_answer>(effects).empty());
+    end_relay(id, relay_end::answered);
+    auto const answered = of_kind<deliver_answer>(effects);
+    ASSERT_EQ(answered.size(), 1U);
+    EXPECT_EQ(answered[0].id, id);
+    end_relay(id, relay_end::broken); // once more, after the answer
+    EXPECT_TRUE(effects.empty());
+}
+
 TEST_F(relay_case, a_client_that_leaves_ends_the_relay)
 {
     list(6);
--- a/tests/traffic/request_terms_test.cpp
+++ b/tests/traffic/request_terms_test.cpp
@@ -46,7 +46,7 @@
     {
         std::string out;
         for (auto const& sent : of_kind<send_attempt>(effects)) {
-            out += sent.target.value.substr(0, 1);
+            out += sent.attempt.target.value.substr(0, 1);
         }
         return out;
     }
@@ -65,7 +65,7 @@
     request_id const urgent = arrive_with({{}, 1, {}, {}});
     end(running, target_id("l0"), attempt_end::succeeded);
     ASSERT_TRUE(single<send_attempt>());
-    EXPECT_EQ(single<send_attempt>()->id, urgent);
+    EXPECT_EQ(single<send_attempt>()->attempt.id.request, urgent);
 }
 
 TEST_F(request_terms_case, a_workspace_may_lower_the_priority_too)
@@ -76,7 +76,7 @@
     request_id const ordinary = arrive_with({});
     end(running, target_id("l0"), attempt_end::succeeded);
     ASSERT_TRUE(single<send_attempt>());
-    EXPECT_EQ(single<send_attempt>()->id, ordinary);
+    EXPECT_EQ(single<send_attempt>()->attempt.id.request, ordinary);
 }
 
 // Data of a workspace left its home regions.
@@ -145,7 +145,7 @@
         std::vector<std::pair<request_id, target_id>> open;
         auto const take = [&] {
             for (auto const& sent : of_kind<send_attempt>(effects)) {
-                open.emplace_back(sent.id, sent.target);
+                open.emplace_back(sent.attempt.id.request, sent.attempt.target);
             }
         };
         route.home_regions = there;
@@ -153,7 +153,7 @@
             arrive_with({});
             now += milliseconds{5};
             for (auto const& sent : of_kind<send_attempt>(effects)) {
-                end(sent.id, sent.target, attempt_end::succeeded);
+                end(sent.attempt.id.request, sent.attempt.target, attempt_end::succeeded);
             }
         }
         route.home_regions.clear();
--- a/tests/traffic/slowness_test.cpp
+++ b/tests/traffic/slowness_test.cpp
@@ -40,9 +40,10 @@
     void answer(std::optional<double> reported, double time_ratio)
     {
         now += milliseconds{20};
-        state.attempt_sent(request_id(1), {}, 20, now);
+        send_id const id{request_id(1), send_number(1)};
+        state.attempt_sent(id, {}, 20, now);
         attempt_ended event;
-        event.id = request_id(1);
+        event.attempt.id = id;
         event.end = attempt_end::succeeded;
         event.load = target_load{1, 0, 2, reported};
         state.attempt_ended(event, time_ratio, milliseconds{0}, now);
@@ -114,14 +115,12 @@
     for (int i = 0; i < 60; ++i) {
         auto const id = fixture.arrive();
         ASSERT_TRUE(fixture.single<send_attempt>());
-        attempt_ended event;
-        event.id = id;
-        event.target = fixture.single<send_attempt>()->target;
-        event.end = attempt_end::succeeded;
-        event.load = target_load{0, 0, 8, event.target == target_id("t0") ? 4.0 : 1.0};
+        attempt_ended event =
+            traffic_fixture::ended(*fixture.single<send_attempt>(), attempt_end::succeeded);
+        event.load = target_load{0, 0, 8, event.attempt.target == target_id("t0") ? 4.0 : 1.0};
         fixture.now += milliseconds{50};
         fixture.feed(event);
-        used[event.target] += i >= 20 ? 1 : 0;
+        used[event.attempt.target] += i >= 20 ? 1 : 0;
     }
     EXPECT_GT(used[target_id("t1")], 35);
 }
--- a/tests/traffic/stop_test.cpp
+++ b/tests/traffic/stop_test.cpp
@@ -22,7 +22,7 @@
         auto const sent = single<send_attempt>();
         ASSERT_TRUE(sent);
         now += time;
-        end(id, sent->target, attempt_end::succeeded);
+        end(id, sent->attempt.target, attempt_end::succeeded);
     }
 
     void stop_within(milliseconds time) { feed(stop_announced{now + time}); }
@@ -39,7 +39,7 @@
         }
         advance_effects.clear();
         advance(milliseconds{2000});
-        return {id, sent->target};
+        return {id, sent->attempt.target};
     }
 };
 
--- a/tests/traffic/target_test.cpp
+++ b/tests/traffic/target_test.cpp
@@ -19,7 +19,7 @@
     for (int i = 0; i < 20; ++i) {
         fixture.arrive("object" + std::to_string(i));
         for (auto const& sent : traffic_fixture::of_kind<send_attempt>(fixture.effects)) {
-            ++running[sent.target];
+            ++running[sent.attempt.target];
         }
     }
     EXPECT_EQ(running[target_id("t0")], 3);
@@ -31,13 +31,13 @@
     traffic_fixture fixture;
     fixture.list(5);
     fixture.arrive("object");
-    auto const first = fixture.single<send_attempt>()->target;
+    auto const first = fixture.single<send_attempt>()->attempt.target;
     for (int i = 0; i < 10; ++i) {
         fixture.end(request_id(fixture.next - 1), first, attempt_end::succeeded);
         fixture.now += milliseconds{50};
         fixture.arrive("object");
         ASSERT_TRUE(fixture.single<send_attempt>());
-        EXPECT_EQ(fixture.single<send_attempt>()->target, first);
+        EXPECT_EQ(fixture.single<send_attempt>()->attempt.target, first);
     }
 }
 
@@ -49,7 +49,7 @@
         std::set<target_id> used;
         for (milliseconds done{0}; done < time; done += milliseconds{50}) {
             auto const id = fixture.arrive("object" + std::to_string(done.count() / 50 % 20));
-            auto const target = fixture.single<send_attempt>()->target;
+            auto const target = fixture.single<send_attempt>()->attempt.target;
             used.insert(target);
             fixture.now += milliseconds{50};
             fixture.end(id, target, attempt_end::succeeded);
@@ -167,7 +167,7 @@
     fixture.list(2, 3);
     fixture.route.sticky = false;
     auto const first = fixture.arrive();
-    target_id const busy = fixture.single<send_attempt>()->target;
+    target_id const busy = fixture.single<send_attempt>()->attempt.target;
     fixture.now += milliseconds{200}; // raises the cost of waiting for a slot
     fixture.end(first, busy, attempt_end::succeeded);
     peers_reported peers;
@@ -177,7 +177,7 @@
     for (int i = 0; i < 3; ++i) {
         fixture.arrive();
         ASSERT_TRUE(fixture.single<send_attempt>());
-        EXPECT_NE(fixture.single<send_attempt>()->target, busy);
+        EXPECT_NE(fixture.single<send_attempt>()->attempt.target, busy);
     }
     fixture.arrive();
     EXPECT_FALSE(fixture.single<send_attempt>()); // all slots are taken
@@ -217,7 +217,7 @@
         auto const expected = listed.single<send_attempt>();
         auto const actual = changed.single<send_attempt>();
         RC_ASSERT(expected.has_value() == actual.has_value());
-        RC_ASSERT((!expected || expected->target == actual->target));
+        RC_ASSERT((!expected || expected->attempt.target == actual->attempt.target));
     }
 }
 
@@ -226,7 +226,7 @@
     traffic_fixture fixture;
     fixture.list(1, 50);
     auto const id = fixture.arrive();
-    fixture.end(id, fixture.single<send_attempt>()->target, attempt_end::not_connected);
+    fixture.end(id, fixture.single<send_attempt>()->attempt.target, attempt_end::not_connected);
     fixture.advance(milliseconds{400});
     int sent = 0;
     for (int i = 0; i < 30; ++i) {
@@ -251,7 +251,7 @@
         for (auto const& attempt : traffic_fixture::of_kind<send_attempt>(fixture.effects)) {
             running.emplace_back(fixture.now, attempt);
             ++sent;
-            sent_far += attempt.target == target_id("far") ? 1 : 0;
+            sent_far += attempt.attempt.target == target_id("far") ? 1 : 0;
         }
     };
     for (int i = 0; i < 1000; ++i) { // five times what the near target can serve
@@ -259,7 +259,7 @@
         while (!running.empty() && running.front().first + service_time <= fixture.now) {
             send_attempt const ended = running.front().second;
             running.pop_front();
-            fixture.end(ended.id, ended.target, attempt_end::succeeded);
+            fixture.end(ended.attempt.id.request, ended.attempt.target, attempt_end::succeeded);
             record();
         }
         fixture.arrive("object" + std::to_string(i % 5));
@@ -304,7 +304,7 @@
     int sent_to_failing = 0;
     for (int i = 0; i < 60; ++i) {
         auto const id = fixture.arrive();
-        auto const target = fixture.single<send_attempt>()->target;
+        auto const target = fixture.single<send_attempt>()->attempt.target;
         fixture.now += milliseconds{10};
         bool const failing = target == target_id("t0");
         sent_to_failing += failing ? 1 : 0;
@@ -339,14 +339,14 @@
     traffic_fixture fixture;
     fixture.list(1, 1);
     auto const running = fixture.arrive();
-    auto const target = fixture.single<send_attempt>()->target;
+    auto const target = fixture.single<send_attempt>()->attempt.target;
     fixture.route.priority = 2;
     fixture.arrive();
     fixture.route.priority = 0;
     auto const urgent = fixture.arrive();
     fixture.end(running, target, attempt_end::succeeded);
     ASSERT_TRUE(fixture.single<send_attempt>());
-    EXPECT_EQ(fixture.single<send_attempt>()->id, urgent);
+    EXPECT_EQ(fixture.single<send_attempt>()->attempt.id.request, urgent);
 }
 
 TEST(queue, refuses_immediately_what_cannot_be_answered_in_time)
@@ -367,7 +367,7 @@
     traffic_fixture fixture;
     fixture.list(1, 1);
     auto const running = fixture.arrive("a", "running");
-    auto const target = fixture.single<send_attempt>()->target;
+    auto const target = fixture.single<send_attempt>()->attempt.target;
     std::string refused;
     for (int i = 0; i < 20 && refused.empty(); ++i) {
         std::string const client = "client" + std::to_string(i);
@@ -377,7 +377,7 @@
     ASSERT_FALSE(refused.empty());
     fixture.end(running, target, attempt_end::succeeded);
     while (auto const sent = fixture.single<send_attempt>()) {
-        fixture.end(sent->id, target, attempt_end::succeeded);
+        fixture.end(sent->attempt.id.request, target, attempt_end::succeeded);
     }
     fixture.now += fixture.route.objective + milliseconds{50}; // too late for the objective
     auto const holder = fixture.arrive("b", "holder");
@@ -386,7 +386,7 @@
     ASSERT_FALSE(fixture.single<answer_locally>());
     fixture.end(holder, target, attempt_end::succeeded);
     ASSERT_TRUE(fixture.single<send_attempt>());
-    EXPECT_EQ(fixture.single<send_attempt>()->id, back);
+    EXPECT_EQ(fixture.single<send_attempt>()->attempt.id.request, back);
 }
 
 TEST(queue, serves_a_client_retry_before_a_new_request)
@@ -394,7 +394,7 @@
     traffic_fixture fixture;
     fixture.list(1, 1);
     fixture.arrive("a", "running");
-    auto const target = fixture.single<send_attempt>()->target;
+    auto const target = fixture.single<send_attempt>()->attempt.target;
     request_id const running(1);
     std::string refused;
     for (int i = 0; i < 20 && refused.empty(); ++i) {
@@ -406,7 +406,7 @@
     // The queued requests are served, then another request takes the slot.
     fixture.end(running, target, attempt_end::succeeded);
     while (auto const sent = fixture.single<send_attempt>()) {
-        fixture.end(sent->id, target, attempt_end::succeeded);
+        fixture.end(sent->attempt.id.request, target, attempt_end::succeeded);
     }
     auto const holder = fixture.arrive("b", "holder");
     fixture.arrive("b", "new");
@@ -415,7 +415,7 @@
     ASSERT_FALSE(fixture.single<answer_locally>());
     fixture.end(holder, target, attempt_end::succeeded);
     ASSERT_TRUE(fixture.single<send_attempt>());
-    EXPECT_EQ(fixture.single<send_attempt>()->id, back);
+    EXPECT_EQ(fixture.single<send_attempt>()->attempt.id.request, back);
 }
 
 TEST(retry_after_schedule, spreads_the_retries_of_refused_clients)
--- a/tests/traffic/traffic_fixture.h
+++ b/tests/traffic/traffic_fixture.h
@@ -4,6 +4,7 @@
 #include "traffic/traffic.h"
 
 #include <algorithm>
+#include <gtest/gtest.h>
 
 namespace cove {
 
@@ -31,6 +32,7 @@
     traffic_effects const& feed(traffic_event const& event)
     {
         effects = reducer.reduce(event, now);
+        note_sends(effects);
         return effects;
     }
 
@@ -81,12 +83,34 @@
     }
 
     traffic_effects const& end(request_id id, target_id const& target, attempt_end result)
+    {
+        return feed(ended(id, target, result));
+    }
+
+    /** @return the end of the latest attempt of a request, to be completed by the caller. */
+    [[nodiscard]] attempt_ended ended(request_id id, target_id const& target,
+                                      attempt_end result) const
+    {
+        attempt_ended event;
+        event.attempt = attempts.at(id);
+        EXPECT_EQ(event.attempt.target, target);
+        event.end = result;
+        return event;
+    }
+
+    /** @return the end of @p sent, to be completed by the caller. */
+    static attempt_ended ended(send_attempt const& sent, attempt_end result)
     {
         attempt_ended event;
-        event.id = id;
-        event.target = target;
+        event.attempt = sent.attempt;
         event.end = result;
-        return feed(event);
+        return event;
+    }
+
+    /** Ends the latest relay of a request. */
+    traffic_effects const& end_relay(request_id id, relay_end result)
+    {
+        return feed(relay_ended{relays.at(id), result});
     }
 
     /** Advances the clock in steps of the tick of the host. */
@@ -96,10 +120,21 @@
         for (milliseconds done{0}; done < time; done += step) {
             now += step;
             auto const more = reducer.reduce(timer_tick{}, now);
+            note_sends(more);
             advance_effects.insert(advance_effects.end(), more.begin(), more.end());
         }
     }
 
+    void note_sends(traffic_effects const& list)
+    {
+        for (auto const& sent : of_kind<send_attempt>(list)) {
+            attempts[sent.attempt.id.request] = sent.attempt;
+        }
+        for (auto const& relayed : of_kind<relay_request>(list)) {
+            relays[relayed.id.request] = relayed.id;
+        }
+    }
+
     /** @return the effects of kind @p Effect in @p list. */
     template <class Effect>
     static std::vector<Effect> of_kind(traffic_effects const& list)
@@ -129,8 +164,10 @@
     std::vector<target_entry> entries;
     milliseconds deadline{2000};
     mono_time now{seconds{100}};
-    traffic_effects effects;         ///< of the last event
-    traffic_effects advance_effects; ///< effects of all calls of advance()
+    traffic_effects effects;                       ///< of the last event
+    traffic_effects advance_effects;               ///< effects of all calls of advance()
+    std::map<request_id, target_attempt> attempts; ///< the latest of each request
+    std::map<request_id, send_id> relays;          ///< the latest of each request
     std::uint64_t next = 1;
 };
 
--- a/tests/traffic/workspace_shares_test.cpp
+++ b/tests/traffic/workspace_shares_test.cpp
@@ -42,8 +42,8 @@
             while (!running.empty() && running.front().ends <= now) {
                 auto const run = running.front();
                 running.pop_front();
-                attempt_ended event{run.id, run.target, attempt_end::succeeded, {}, {}, {}};
-                results[source_of[run.id]].served += now - start >= settled ? 1 : 0;
+                attempt_ended const event{run.attempt, attempt_end::succeeded, {}, {}, {}};
+                results[source_of[run.attempt.id.request]].served += now - start >= settled ? 1 : 0;
                 perform(event);
             }
             for (std::size_t i = 0; i < sources.size(); ++i) {
@@ -59,8 +59,7 @@
     }
 
     struct run {
-        request_id id;
-        target_id target;
+        target_attempt attempt;
         mono_time ends;
     };
 
@@ -83,7 +82,7 @@
     {
         feed(event);
         for (auto const& sent : of_kind<send_attempt>(effects)) {
-            running.push_back({sent.id, sent.target, now + work});
+            running.push_back({sent.attempt, now + work});
         }
     }
 
