Count the end of an attempt for the incarnation of the target that it came from

Seen: an end that arrived after its request had moved on was dropped whole. More requests went to a target that had ended, had said that it leaves or had asked for a pause, and a request under which a target had ended was not counted. The end of an attempt that began before a restart was held against the target that had just started, which then got no requests for its back-off and its cold period.

Cause: what an end says of its target was recorded through the request that waits for it, and for whatever the list names under the target's id at that time.

Evidence: with the sources of the commit before, five tests of late_end fail (of_a_target_that_has_ended_ keeps_requests_away, with_the_notice_that_the_target_leaves_is_obeyed, with_a_pause_that_the_target_asks_ for_is_obeyed, of_a_request_in_progress_says_nothing_of_a_target_that_has_started_again, convicts_the_ request_under_which_that_incarnation_ended).

Change: an attempt carries the incarnation of its target and the fingerprint of its request. The reducer parts an end in two: what it says of the target, the links and the request's record of crashes counts always; what the request does next is decided for its send in progress only. If the target has started again since, only the slot is given back. A late end has no measured time, as the request's times are those of a later send.

Why it works: the evidence needs nothing of the request any more, and the incarnation tells which start of the target it is about.

--- a/src/traffic/send_type.h
+++ b/src/traffic/send_type.h
@@ -1,8 +1,9 @@
 #pragma once
 /** @file Identities of requests and of what is sent for them. */
 
-#include "core/ids_type.h"
 #include "core/strong_type.h"
+#include "traffic/crash_type.h"
+#include "traffic/target_type.h"
 
 namespace cove {
 
@@ -20,11 +21,13 @@
 
 /**
  * One attempt at a target. Its end is reported with the same value, since a request may leave a
- * target and come back to it before the first end is known.
+ * target and come back to it, or be answered, before the first end is known.
  */
 struct target_attempt {
     send_id id;
+    request_fingerprint fingerprint;
     target_id target;
+    target_incarnation incarnation; ///< of the target when the attempt was sent
 };
 
 } // namespace cove
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -247,11 +247,12 @@
     slowness_.set(1, now);
 }
 
-void target_state::attempt_ended(cove::attempt_ended const& event, double time_ratio,
-                                 milliseconds cold_period, mono_time now)
+void target_state::attempt_ended(cove::attempt_ended const& event,
+                                 std::optional<double> time_ratio, milliseconds cold_period,
+                                 mono_time now)
 {
     running_.erase(event.attempt.id);
-    double const beyond_reported = time_ratio / reported_slowness_.at(now);
+    auto const reported_before = reported_slowness_.at(now);
     if (event.load) {
         record_load(*event.load, now);
     }
@@ -272,7 +273,9 @@
     bool const asks_for_pause = event.notice && event.notice->pause > milliseconds{0};
     switch (event.end) {
     case attempt_end::succeeded:
-        slowness_.add(std::min(beyond_reported, max_slowness), now);
+        if (time_ratio) {
+            slowness_.add(std::min(*time_ratio / reported_before, max_slowness), now);
+        }
         failure_rate_.add(0, now);
         break;
     case attempt_end::failed:
--- a/src/traffic/target_state.h
+++ b/src/traffic/target_state.h
@@ -141,10 +141,11 @@
 
     /**
      * Updates load, speed and failure statistics after an attempt.
-     * @param time_ratio observed service time divided by the one expected at a slowness of 1.
+     * @param time_ratio observed service time divided by the one expected at a slowness of 1;
+     * nullopt if unknown.
      */
-    void attempt_ended(attempt_ended const& event, double time_ratio, milliseconds cold_period,
-                       mono_time now);
+    void attempt_ended(attempt_ended const& event, std::optional<double> time_ratio,
+                       milliseconds cold_period, mono_time now);
 
     /** Removes a cancelled attempt. */
     void attempt_cancelled(send_id const& id) { running_.erase(id); }
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -102,14 +102,22 @@
 
 void traffic::on(attempt_ended const& event)
 {
-    pending_request* const found = find_in_progress(event.attempt.id);
-    if (found == nullptr) {
-        return; // the attempt was cancelled before
+    pending_request* const request = find_in_progress(event.attempt.id);
+    record_end(event, request);
+    note_crash(event);
+    if (request == nullptr) {
+        refuse_blocked();
+        return;
     }
-    pending_request& request = *found;
-    service_id const service = request.service;
-    record_outcome(request, event);
-    note_crash(request, event);
+    service_id const service = request->service;
+    after_end(*request, event);
+    refuse_blocked();
+    dispatch_queue(service);
+}
+
+/** Continues a request after its attempt in progress has ended. */
+void traffic::after_end(pending_request& request, attempt_ended const& event)
+{
     request.target.reset();
     request.tried.insert(event.attempt.target);
     if (event.end == attempt_end::succeeded || request.client_disconnected) {
@@ -119,22 +127,19 @@
     else {
         after_failure(request, event);
     }
-    refuse_blocked();
-    dispatch_queue(service);
 }
 
-/** Records that the target ended while it ran @p request, or that the request was completed. */
-void traffic::note_crash(pending_request const& request, attempt_ended const& event)
+/** Records that the target ended while it ran the request, or that the request was completed. */
+void traffic::note_crash(attempt_ended const& event)
 {
+    target_attempt const& attempt = event.attempt;
     if (event.end == attempt_end::succeeded) {
-        crashes_.note_completed(request.fingerprint, now_);
-        return;
+        crashes_.note_completed(attempt.fingerprint, now_);
     }
-    auto const target = targets_.find(event.attempt.target);
-    if (event.end == attempt_end::broken && event.target_ended && target != targets_.end()) {
-        crashes_.note_end(
-            request.fingerprint,
-            {event.attempt.target, target->second.entry().incarnation, settings_.host}, now_);
+    else if (event.end == attempt_end::broken && event.target_ended &&
+             targets_.contains(attempt.target)) {
+        crashes_.note_end(attempt.fingerprint,
+                          {attempt.target, attempt.incarnation, settings_.host}, now_);
     }
 }
 
@@ -208,13 +213,32 @@
     return true;
 }
 
-void traffic::record_outcome(pending_request const& request, attempt_ended const& event)
+/**
+ * Records what an end says of its target and of the links. It holds whether or not a request still
+ * waits for it.
+ * @param request whose attempt in progress has ended; null if it has left the target before.
+ */
+void traffic::record_end(attempt_ended const& event, pending_request const* request)
 {
     auto const found = targets_.find(event.attempt.target);
     if (found == targets_.end()) {
         return;
     }
     target_state& target = found->second;
+    record_links(event, target);
+    if (target.entry().incarnation != event.attempt.incarnation) {
+        target.attempt_cancelled(event.attempt.id); // it has started again since
+    }
+    else if (request == nullptr) {
+        record_at_target(event, target, std::nullopt);
+    }
+    else {
+        record_times(event, target, *request);
+    }
+}
+
+void traffic::record_links(attempt_ended const& event, target_state const& target)
+{
     if (event.end == attempt_end::not_connected) {
         reach_.connect_failed(target.short_hash(), now_);
     }
@@ -227,12 +251,33 @@
     else {
         reach_.attempt_answered(now_);
     }
-    bool const was_cold = target.cold(now_);
-    double const connect_ms = as_ms(event.connect_time);
     if (event.connect_time > microseconds{0} && target.entry().zone != settings_.zone) {
+        double const connect_ms = as_ms(event.connect_time);
         rtt_ms_.try_emplace(target.entry().zone, mean_sample_weight, connect_ms)
             .first->second.add(connect_ms);
     }
+}
+
+void traffic::record_at_target(attempt_ended const& event, target_state& target,
+                               std::optional<double> time_ratio)
+{
+    service_id const& service = target.entry().service;
+    target.attempt_ended(event, time_ratio, service_settings_[service].cold_period, now_);
+    if (event.notice && event.notice->leaving &&
+        left_targets_.note(event.attempt.target, event.attempt.incarnation, now_)) {
+        object_balances_[service].targets_changed();
+    }
+    if (target.limit_to_report(now_)) {
+        limited_.insert(target.short_hash());
+    }
+}
+
+/** Records the time that an attempt took, beside the rest that its end says. */
+void traffic::record_times(attempt_ended const& event, target_state& target,
+                           pending_request const& request)
+{
+    bool const was_cold = target.cold(now_);
+    double const connect_ms = as_ms(event.connect_time);
     double const elapsed_ms =
         std::max(0.1, as_ms(now_ - request.sent) - connect_ms - request.rtt_ms);
     route_time& times = service_times_.of(*request.route);
@@ -241,15 +286,7 @@
     bool const was_warm = has_affinity && elapsed_ms / slowness * elapsed_ms / slowness <
                                               times.warm.value() * times.cold.value();
     double const expected_ms = was_warm ? times.warm.value() : times.cold.value();
-    target.attempt_ended(event, elapsed_ms / std::max(0.1, expected_ms),
-                         service_settings_[request.service].cold_period, now_);
-    if (event.notice && event.notice->leaving &&
-        left_targets_.note(event.attempt.target, target.entry().incarnation, now_)) {
-        object_balances_[request.service].targets_changed();
-    }
-    if (target.limit_to_report(now_)) {
-        limited_.insert(target.short_hash());
-    }
+    record_at_target(event, target, elapsed_ms / std::max(0.1, expected_ms));
     bool const queued_at_target = event.load && event.load->waiting > 0;
     if (event.end != attempt_end::succeeded) {
         return;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -173,9 +173,15 @@
     void index_targets();
     void dispatch_all_queues();
     void balance_objects();
-    void record_outcome(pending_request const& request, attempt_ended const& event);
+    void record_end(attempt_ended const& event, pending_request const* request);
+    void record_links(attempt_ended const& event, target_state const& target);
+    void record_at_target(attempt_ended const& event, target_state& target,
+                          std::optional<double> time_ratio);
+    void record_times(attempt_ended const& event, target_state& target,
+                      pending_request const& request);
+    void after_end(pending_request& request, attempt_ended const& event);
     void after_failure(pending_request& request, attempt_ended const& event);
-    void note_crash(pending_request const& request, attempt_ended const& event);
+    void note_crash(attempt_ended const& event);
     void refuse_blocked();
     [[nodiscard]] bool wants_relay(pending_request const& request) const;
     bool relay(pending_request& request);
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -481,7 +481,7 @@
     target.attempt_sent(request.last_send(), request.object, option.service_ms, now_);
     option.candidate->load += 1;
     effects_.push_back(
-        send_attempt{{request.last_send(), entry.id},
+        send_attempt{{request.last_send(), request.fingerprint, entry.id, entry.incarnation},
                      entry.service,
                      entry.address,
                      std::chrono::duration_cast<milliseconds>(request.expires - now_),
--- a/tests/traffic/send_identity_test.cpp
+++ b/tests/traffic/send_identity_test.cpp
@@ -329,5 +329,118 @@
     EXPECT_TRUE(reducer.in_flight_by_target(now).empty());
 }
 
+/** A request that has left a target as its answer was late; the first attempt ends after that. */
+class late_end : public traffic_fixture, public testing::Test {
+protected:
+    void SetUp() override
+    {
+        route.objective = milliseconds{60}; // an answer that takes 200 ms is late
+        feed(crash_retention_changed{milliseconds{60'000}});
+        list(2, 8);
+        id = arrive("object");
+        ASSERT_TRUE(single<send_attempt>());
+        left = *single<send_attempt>();
+        advance(milliseconds{220});
+        ASSERT_EQ(of_kind<send_attempt>(advance_effects).size(), 1U);
+        ASSERT_NE(attempts.at(id).target, left.attempt.target);
+    }
+
+    /** @return whether a request that prefers the target that was left is sent there. */
+    bool gets_requests()
+    {
+        arrive("object");
+        return single<send_attempt>() &&
+               single<send_attempt>()->attempt.target == left.attempt.target;
+    }
+
+    /** The target that was left starts again. */
+    void restart()
+    {
+        auto const found =
+            std::find_if(entries.begin(), entries.end(), [this](target_entry const& entry) {
+                return entry.id == left.attempt.target;
+            });
+        ++found->incarnation.value;
+        feed(targets_changed{{*found}, {}});
+    }
+
+    request_id id;
+    send_attempt left; ///< cancelled as late
+};
+
+TEST_F(late_end, leaves_the_target_in_use_if_it_says_nothing_against_it)
+{
+    feed(ended(left, attempt_end::succeeded));
+    EXPECT_TRUE(gets_requests());
+}
+
+// What the end says of the target was dropped, so that more requests went to one that had ended.
+TEST_F(late_end, of_a_target_that_has_ended_keeps_requests_away)
+{
+    attempt_ended event = ended(left, attempt_end::broken);
+    event.target_ended = true;
+    feed(event);
+    EXPECT_FALSE(gets_requests());
+}
+
+// A target that shuts down got requests for as long as the list did not show that it leaves.
+TEST_F(late_end, with_the_notice_that_the_target_leaves_is_obeyed)
+{
+    attempt_ended event = ended(left, attempt_end::failed);
+    event.notice = target_notice{std::nullopt, true};
+    feed(event);
+    EXPECT_FALSE(gets_requests());
+}
+
+TEST_F(late_end, with_a_pause_that_the_target_asks_for_is_obeyed)
+{
+    attempt_ended event = ended(left, attempt_end::refused);
+    event.notice = target_notice{std::nullopt, false, milliseconds{500}};
+    feed(event);
+    EXPECT_FALSE(gets_requests());
+    advance(milliseconds{600});
+    EXPECT_TRUE(gets_requests());
+}
+
+// The end of a former incarnation was held against the one that had just started.
+TEST_F(late_end, says_nothing_of_a_target_that_has_started_again)
+{
+    restart();
+    attempt_ended event = ended(left, attempt_end::broken);
+    event.target_ended = true;
+    event.notice = target_notice{std::nullopt, true, milliseconds{500}};
+    feed(event);
+    EXPECT_TRUE(gets_requests());
+}
+
+TEST_F(late_end, of_a_request_in_progress_says_nothing_of_a_target_that_has_started_again)
+{
+    request_id const running = arrive("object");
+    ASSERT_TRUE(single<send_attempt>());
+    left = *single<send_attempt>();
+    restart();
+    attempt_ended event = ended(left, attempt_end::broken);
+    event.target_ended = true;
+    feed(event);
+    ASSERT_NE(attempts.at(running).id, left.attempt.id); // it was sent once more
+    EXPECT_TRUE(gets_requests());
+    EXPECT_EQ(reducer.in_flight_by_target(now).size(), 2U);
+}
+
+// A request that had moved on when its target ended was not counted among those that end targets.
+TEST_F(late_end, convicts_the_request_under_which_that_incarnation_ended)
+{
+    restart();
+    attempt_ended event = ended(left, attempt_end::broken);
+    event.target_ended = true;
+    feed(event);
+    auto const reports = of_kind<report_crashes>(effects);
+    ASSERT_EQ(reports.size(), 1U);
+    ASSERT_EQ(reports[0].records.size(), 1U);
+    ASSERT_EQ(reports[0].records[0].ends.size(), 1U);
+    EXPECT_EQ(reports[0].records[0].ends[0].target, left.attempt.target);
+    EXPECT_EQ(reports[0].records[0].ends[0].incarnation, target_incarnation(1));
+}
+
 } // namespace
 } // namespace cove
