Send requests on pooled connections to the target's present address only

Seen: a target that starts again under its id at another address got none of the requests that the host sent on connections from before; they went to the former address, which another target may have by now. Its answer of 421 then took the new target out of use until its next start.

Connections that were idle, that a probe had opened or that an exchange gave back after the move were all taken for connections to the target as it is listed now.

Evidence: moved_target.gets_no_request_on_a_connection_to_its_former_address, before the change: two requests at the former address, none at the present one.

Change: acquire() takes a connection only if its peer is the address of the attempt, and closes others.

Measured: moved_target, dark_target, crashing_request_case and notice_case pass.

--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -46,8 +46,9 @@
                                                                    bool idempotent,
                                                                    std::string const& attempt_id)
 {
+    http_endpoint const peer = endpoint_of(address);
     if (attempt_id.empty()) { // a late copy of another response could not be told from this one
-        return std::make_shared<exchange_connection>(loop_, endpoint_of(address), limits_);
+        return std::make_shared<exchange_connection>(loop_, peer, limits_);
     }
     mono_time const now = read_clocks().mono;
     auto& idle = idle_[target];
@@ -61,13 +62,14 @@
         auto const fraction = idempotent ? 1.0 : safe_idle_fraction;
         auto const longest =
             std::chrono::duration<double, std::milli>(idle_limit(*last)) * fraction;
-        if (now - last->idle_since < longest && last->usable()) {
+        // A target that starts again under its id may have another address.
+        if (last->peer() == peer && now - last->idle_since < longest && last->usable()) {
             last->taken = now;
             return last;
         }
         last->close();
     }
-    return std::make_shared<exchange_connection>(loop_, endpoint_of(address), limits_);
+    return std::make_shared<exchange_connection>(loop_, peer, limits_);
 }
 
 void target_connection_pool::release(target_id const& target, connection released)
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -41,7 +41,7 @@
      * target certainly keeps it open.
      * @param attempt_id of the request; none: never reused. A connection on which it was refused is
      * not used, because a faulty target may write that refusal once more.
-     * @return an idle connection, or a new one that connects with its first request.
+     * @return an idle connection to @p address, or a new one that connects with its first request.
      */
     connection acquire(target_id const& target, std::string const& address, bool idempotent,
                        std::string const& attempt_id);
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -97,6 +97,9 @@
     /** @return whether another request may be sent; checks the socket for a close by the peer. */
     [[nodiscard]] bool usable();
 
+    /** @return the address that it is, or will be, connected to. */
+    [[nodiscard]] http_endpoint const& peer() const { return peer_; }
+
     /** @return whether bytes of the request in progress may have been sent. */
     [[nodiscard]] bool sending() const { return sending_; }
 
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -247,9 +247,8 @@
     slowness_.set(1, now);
 }
 
-void target_state::attempt_ended(cove::attempt_ended const& event,
-                                 std::optional<double> time_ratio, milliseconds cold_period,
-                                 mono_time now)
+void target_state::attempt_ended(cove::attempt_ended const& event, std::optional<double> time_ratio,
+                                 milliseconds cold_period, mono_time now)
 {
     running_.erase(event.attempt.id);
     auto const reported_before = reported_slowness_.at(now);
