--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -500,8 +500,9 @@
             return has_id || !carried_others ? match(attempt_id, response)
                                              : response_match::other_request;
         },
+        // Weak, as the connection holds this handler; it lives while it calls it.
         [this, effect, fresh, owner = std::weak_ptr(used)](exchange_result result) {
-            on_attempt_end(effect, owner.lock(), fresh, std::move(result)); // called by it
+            on_attempt_end(effect, owner.lock(), fresh, std::move(result));
         },
         still_wanted(id), open.body);
 }
@@ -580,7 +581,7 @@
             return match(attempt_id, response);
         },
         [this, effect, owner = std::weak_ptr(used)](exchange_result result) {
-            on_relay_end(effect, owner.lock(), std::move(result)); // called by it
+            on_relay_end(effect, owner.lock(), std::move(result));
         },
         still_wanted(id), open.body);
 }
--- a/tests/host/dark_target_test.cpp
+++ b/tests/host/dark_target_test.cpp
@@ -49,21 +49,28 @@
         store.targets_listed({entries, position(1)});
     }
 
-    /** Sends a request. @return the index of the target that runs it. */
+    /** Serves a few requests, from which the host learns the usual time. */
+    void warm_up()
+    {
+        for (int i = 0; i < warm_up_requests; ++i) {
+            ASSERT_EQ(status("/a/0"), 200U);
+        }
+    }
+
+    /** Sends a request on `connection`. @return the index of the target that runs it. */
     std::size_t send(std::function<void(unsigned status)> const& done)
     {
         std::array const before{targets[0]->requests, targets[1]->requests};
-        auto const connection = std::make_shared<exchange_connection>(
-            loop, endpoint_of(client_address), exchange_limits{});
+        connection = std::make_shared<exchange_connection>(loop, endpoint_of(client_address),
+                                                           exchange_limits{});
         http_request request(boost::beast::http::verb::put, "/a/1", 11);
         request.set(boost::beast::http::field::host, "desk.example");
         request.set("Attempt", "a1");
         request.set("Deadline", "1500");
         request.prepare_payload();
-        connection->exchange(std::move(request), nullptr,
-                             [connection, done](exchange_result const& result) {
-                                 done(result.response.result_int());
-                             });
+        connection->exchange(std::move(request), nullptr, [done](exchange_result const& result) {
+            done(result.response.result_int());
+        });
         EXPECT_TRUE(run_until(loop, [&] {
             return targets[0]->requests > before[0] || targets[1]->requests > before[1];
         }));
@@ -76,17 +83,24 @@
             loop, [] { return false; }, time);
     }
 
+    void expect_no_failed_requests()
+    {
+        auto const text = exchange_once(
+            loop, metrics_address, http_request(boost::beast::http::verb::get, "/metrics", 11));
+        EXPECT_NE(text.response.body().find("cove_failed_requests 0\n"), std::string::npos)
+            << text.response.body();
+    }
+
     std::array<std::unique_ptr<crashing_target>, 2> targets;
     std::array<std::unique_ptr<cut_link>, 2> links;
+    std::shared_ptr<exchange_connection> connection; ///< of the last client
 };
 
 // A host ended with signal 11: the end of the first attempt, which waits for a probe, was taken for
 // that of a later attempt at the same target, and the ends of two exchanges met one connection.
 TEST_F(dark_target, that_a_request_comes_back_to_does_not_end_the_host)
 {
-    for (int i = 0; i < warm_up_requests; ++i) {
-        ASSERT_EQ(status("/a/0"), 200U);
-    }
+    warm_up();
     std::optional<unsigned> answered;
     std::size_t const first = send([&](unsigned status) { answered = status; });
     std::size_t const other = 1 - first;
@@ -98,10 +112,21 @@
     targets[other]->service_time = long_service_time;
     EXPECT_TRUE(run_until(loop, [&] { return answered.has_value(); }));
     EXPECT_EQ(answered, 200U);
-    auto const text = exchange_once(loop, metrics_address,
-                                    http_request(boost::beast::http::verb::get, "/metrics", 11));
-    EXPECT_NE(text.response.body().find("cove_failed_requests 0"), std::string::npos)
-        << text.response.body();
+    expect_no_failed_requests();
+}
+
+// The end of its attempt is told after the request is gone.
+TEST_F(dark_target, whose_client_leaves_before_its_end_is_known_does_not_end_the_host)
+{
+    warm_up();
+    std::size_t const first = send([](unsigned) {});
+    wait(time_to_end);
+    links[first]->cut(link_cut::dark);
+    wait(milliseconds{20}); // the host has lost its connection and tests the target
+    connection->close();
+    wait(time_to_return);
+    EXPECT_EQ(status("/a/2"), 200U); // at the other target
+    expect_no_failed_requests();
 }
 
 } // namespace
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -79,5 +79,48 @@
                std::to_string(std::get<1>(info.param).count()) + "_ms";
     });
 
+class shared_connection : public testing::Test {
+protected:
+    /** Starts an exchange on `connection`. @return its outcome, once it is there. */
+    std::shared_ptr<std::optional<exchange_outcome>> start()
+    {
+        auto const outcome = std::make_shared<std::optional<exchange_outcome>>();
+        connection->exchange(
+            upload_of(short_upload), nullptr,
+            [outcome](exchange_result const& result) { *outcome = result.outcome; });
+        return outcome;
+    }
+
+    boost::asio::io_context loop;
+    std::string answer = with_length;
+    scripted_server server{loop, [this](std::string const&) { return scripted_answer{answer}; }};
+    std::shared_ptr<exchange_connection> connection = std::make_shared<exchange_connection>(
+        loop, endpoint_of(server.address()), exchange_limits{});
+};
+
+// The timer that limits the time to connect outlives the exchange that it was started for.
+TEST_F(shared_connection, that_is_established_is_not_given_up_by_a_late_connect_timer)
+{
+    auto const first = start();
+    ASSERT_TRUE(run_until(loop, [&] { return first->has_value(); }));
+    auto const second = start();
+    connection->give_up_connecting();
+    ASSERT_TRUE(run_until(loop, [&] { return second->has_value(); }));
+    EXPECT_EQ(*second, exchange_outcome::answered);
+}
+
+TEST_F(shared_connection, that_is_closed_by_its_owner_reports_no_end)
+{
+    answer.clear(); // the request stays unanswered
+    auto const cancelled = start();
+    ASSERT_TRUE(run_until(loop, [this] { return server.request_heads.size() == 1; }));
+    server.send_to_all(with_length);
+    connection->close();
+    connection->give_up_connecting();
+    run_until(
+        loop, [] { return false; }, milliseconds{50});
+    EXPECT_FALSE(cancelled->has_value());
+}
+
 } // namespace
 } // namespace cove
--- a/tests/traffic/send_identity_test.cpp
+++ b/tests/traffic/send_identity_test.cpp
@@ -18,9 +18,9 @@
 public:
     random_sends()
     {
-        host.route.max_attempts = draw(1, 5);
-        host.route.objective = milliseconds{60}; // an answer that takes 200 ms is late
-        host.list(draw(1, 4), draw(1, 5));
+        host_.route.max_attempts = draw(1, 5);
+        host_.route.objective = milliseconds{60}; // an answer that takes 200 ms is late
+        host_.list(draw(1, 4), draw(1, 5));
         peers_reported peers;
         peers.hosts_in_zone = {node_id("h0"), node_id("h1")};
         peers.hosts_in_total = 2;
@@ -69,35 +69,35 @@
         constexpr int departure = 18;
         constexpr int restart = 22;
         if (choice < arrival) {
-            host.route.idempotent = draw(0, 4) > 0;
-            request_id const id(host.next++);
-            requests[id].idempotent = host.route.idempotent;
-            request_arrived event{id,        std::make_shared<route_config const>(host.route),
-                                  host.desk, object_key(std::to_string(draw(0, 3))),
-                                  "c",       host.deadline};
+            host_.route.idempotent = draw(0, 4) > 0;
+            request_id const id(host_.next++);
+            requests_[id].idempotent = host_.route.idempotent;
+            request_arrived event{id,         std::make_shared<route_config const>(host_.route),
+                                  host_.desk, object_key(std::to_string(draw(0, 3))),
+                                  "c",        host_.deadline};
             event.relayed = draw(0, 4) == 0;
             perform(event);
         }
-        else if (choice < departure && !requests.empty()) {
-            auto const position = draw(0, static_cast<int>(requests.size()));
-            auto const left = std::next(requests.begin(), position);
+        else if (choice < departure && !requests_.empty()) {
+            auto const position = draw(0, static_cast<int>(requests_.size()));
+            auto const left = std::next(requests_.begin(), position);
             left->second.client_left = true;
             perform(client_disconnected{left->first});
         }
         else if (choice < restart) {
-            auto& entry = host.entries[static_cast<std::size_t>(
-                draw(0, static_cast<int>(host.entries.size())))];
+            auto& entry = host_.entries[static_cast<std::size_t>(
+                draw(0, static_cast<int>(host_.entries.size())))];
             ++entry.incarnation.value;
             targets_changed changes;
             changes.updated = {entry};
             if (draw(0, 2) == 0) {
                 changes.removed = {entry.id};
-                removed.insert(entry.id);
+                removed_.insert(entry.id);
             }
             perform(changes);
         }
         else {
-            host.now += milliseconds(draw(1, 80));
+            host_.now += milliseconds(draw(1, 80));
             report_ends();
             perform(timer_tick{});
         }
@@ -106,44 +106,44 @@
     void report_ends()
     {
         for (bool found = true; found;) {
-            auto const due = std::find_if(sends.begin(), sends.end(), [this](auto const& send) {
-                return send.reported <= host.now;
+            auto const due = std::find_if(sends_.begin(), sends_.end(), [this](auto const& send) {
+                return send.reported <= host_.now;
             });
-            found = due != sends.end();
+            found = due != sends_.end();
             if (!found) {
                 return;
             }
             open_send const ended = *due;
-            sends.erase(due);
+            sends_.erase(due);
             if (ended.relay) {
                 perform(relay_ended{ended.relay->id, ended.relay_result});
                 continue;
             }
-            attempt_ended event = host.ended(*ended.attempt, ended.attempt_result);
+            attempt_ended event = host_.ended(*ended.attempt, ended.attempt_result);
             event.target_ended = ended.target_ended;
             perform(event);
         }
-        while (!probes.empty() && probes.front() <= host.now) {
-            probes.erase(probes.begin());
+        while (!probes_.empty() && probes_.front() <= host_.now) {
+            probes_.erase(probes_.begin());
             perform(probe_ended{draw(0, 3) > 0});
         }
     }
 
     void perform(traffic_event const& event)
     {
-        for (traffic_effect const& effect : traffic_effects(host.feed(event))) {
+        for (traffic_effect const& effect : traffic_effects(host_.feed(event))) {
             std::visit([this](auto const& what) { execute(what); }, effect);
         }
     }
 
     open_send& add_send(request_id id)
     {
-        RC_ASSERT_FALSE(requests.at(id).answered);
+        RC_ASSERT_FALSE(requests_.at(id).answered);
         RC_ASSERT_FALSE(in_progress(id));
-        open_send& added = sends.emplace_back();
+        open_send& added = sends_.emplace_back();
         added.request = id;
-        added.sent = host.now;
-        added.ends = host.now + milliseconds(draw(0, 200));
+        added.sent = host_.now;
+        added.ends = host_.now + milliseconds(draw(0, 200));
         added.reported = added.ends + milliseconds(draw(0, 2) == 0 ? 0 : draw(0, 1000));
         return added;
     }
@@ -158,7 +158,7 @@
         added.attempt = effect;
         added.attempt_result = ends.at(static_cast<std::size_t>(draw(0, ends.size())));
         added.target_ended = added.attempt_result == attempt_end::broken && draw(0, 2) == 0;
-        request_log& log = requests.at(added.request);
+        request_log& log = requests_.at(added.request);
         log.attempts += added.attempt_result == attempt_end::not_connected ? 0 : 1;
         bool const not_run = added.attempt_result == attempt_end::refused ||
                              added.attempt_result == attempt_end::wrong_target ||
@@ -174,55 +174,55 @@
         open_send& added = add_send(effect.id.request);
         added.relay = effect;
         added.relay_result = ends.at(static_cast<std::size_t>(draw(0, ends.size())));
-        request_log& log = requests.at(added.request);
+        request_log& log = requests_.at(added.request);
         bool const not_run =
             added.relay_result == relay_end::refused || added.relay_result == relay_end::not_sent;
         log.runs += not_run ? 0 : 1;
         RC_ASSERT(effect.attempts_left >= 1);
-        RC_ASSERT(log.attempts + effect.attempts_left <= host.route.max_attempts);
+        RC_ASSERT(log.attempts + effect.attempts_left <= host_.route.max_attempts);
         check_counts(log);
     }
 
     void check_counts(request_log const& log) const
     {
-        RC_ASSERT(log.attempts <= host.route.max_attempts);
+        RC_ASSERT(log.attempts <= host_.route.max_attempts);
         RC_ASSERT(log.idempotent || log.runs <= 1);
     }
 
     void execute(cancel_attempt const& effect)
     {
         auto const cancelled =
-            std::find_if(sends.begin(), sends.end(), [&effect](auto const& send) {
+            std::find_if(sends_.begin(), sends_.end(), [&effect](auto const& send) {
                 return (send.attempt ? send.attempt->attempt.id : send.relay->id) == effect.id;
             });
-        RC_ASSERT_FALSE(cancelled == sends.end());
+        RC_ASSERT_FALSE(cancelled == sends_.end());
         RC_ASSERT_FALSE(cancelled->cancelled);
         cancelled->cancelled = true;
-        std::erase_if(sends,
-                      [this](auto const& send) { return send.cancelled && send.ends > host.now; });
+        std::erase_if(sends_,
+                      [this](auto const& send) { return send.cancelled && send.ends > host_.now; });
     }
 
     /** @return whether a send of the request has neither ended nor been cancelled. */
     [[nodiscard]] bool in_progress(request_id id) const
     {
-        return std::any_of(sends.begin(), sends.end(), [id](open_send const& send) {
+        return std::any_of(sends_.begin(), sends_.end(), [id](open_send const& send) {
             return send.request == id && !send.cancelled;
         });
     }
 
     void answer(request_id id)
     {
-        RC_ASSERT_FALSE(requests.at(id).answered);
+        RC_ASSERT_FALSE(requests_.at(id).answered);
         RC_ASSERT_FALSE(in_progress(id));
-        requests.at(id).answered = true;
+        requests_.at(id).answered = true;
     }
 
     void execute(deliver_answer const& effect) { answer(effect.id); }
     void execute(answer_locally const& effect) { answer(effect.id); }
     void execute(probe_target const& /*effect*/)
     {
-        probes.push_back(host.now + milliseconds(draw(0, 250)));
-        std::sort(probes.begin(), probes.end());
+        probes_.push_back(host_.now + milliseconds(draw(0, 250)));
+        std::sort(probes_.begin(), probes_.end());
     }
     template <class Effect>
     void execute(Effect const& /*effect*/)
@@ -234,28 +234,28 @@
     void check_slots() const
     {
         constexpr milliseconds overdue{250};
-        auto const counts = host.reducer.in_flight_by_target(host.now);
-        for (target_entry const& entry : host.entries) {
+        auto const counts = host_.reducer.in_flight_by_target(host_.now);
+        for (target_entry const& entry : host_.entries) {
             int fresh = 0;
             int all = 0;
-            for (open_send const& send : sends) {
+            for (open_send const& send : sends_) {
                 if (send.attempt && !send.cancelled && send.attempt->attempt.target == entry.id) {
                     ++all;
-                    fresh += host.now - send.sent <= overdue ? 1 : 0;
+                    fresh += host_.now - send.sent <= overdue ? 1 : 0;
                 }
             }
             auto const found = counts.find(static_cast<std::uint32_t>(stable_hash(entry.id.value)));
             int const count = found == counts.end() ? 0 : found->second;
             RC_ASSERT(count <= all);
-            RC_ASSERT(removed.contains(entry.id) || count >= fresh);
+            RC_ASSERT(removed_.contains(entry.id) || count >= fresh);
         }
     }
 
-    traffic_fixture host;
-    std::map<request_id, request_log> requests;
-    std::vector<open_send> sends;
-    std::vector<mono_time> probes;
-    std::set<target_id> removed; ///< at some time, with the slots that were in use
+    traffic_fixture host_;
+    std::map<request_id, request_log> requests_;
+    std::vector<open_send> sends_;
+    std::vector<mono_time> probes_;
+    std::set<target_id> removed_; ///< at some time, with the slots that were in use
 };
 
 // A host ended with signal 11: the late end of an attempt was taken for that of a later attempt at
