Let the property on late ends play probes and relays too; comments of its neighbours

Seen while reading the change again: random_sends::report_ends() left before it told the ends of probes, so that the played host never took itself for cut off and relayed nothing. The property held for attempts only, though its model covers relays.

Change: the ends of probes are told; nothing is checked less than before. The regression tests each have a line that says which failure they guard against.

No source of the product is changed.

--- a/tests/host/dark_target_test.cpp
+++ b/tests/host/dark_target_test.cpp
@@ -14,9 +14,9 @@
 class dark_target : public host_case {
 protected:
     static constexpr milliseconds service_time{70};
-    static constexpr milliseconds time_to_end{50};     ///< of a target, from the request on
+    static constexpr milliseconds time_to_end{50};     ///< of a target, after it got the request
     static constexpr milliseconds time_to_return{300}; ///< of the other target
-    /// Of the other target then: the exchanges that were begun before end meanwhile.
+    /// Of the other target after its return; the exchanges begun before end within it.
     static constexpr milliseconds long_service_time{250};
     static constexpr int warm_up_requests = 6;
 
@@ -25,7 +25,7 @@
         config_document document = desk_config(1, "/a/", true);
         document.config.routes[0].max_attempts = 3;
         document.config.routes[0].objective = service_time; // the first estimate of it
-        // One that is back takes requests at once, as the lone host knows no part of a rate.
+        // A single host without peers sends nothing to cold targets.
         document.config.services[service_id("desk")].cold_period = milliseconds{0};
         store.config(document);
         std::vector<target_entry> entries;
@@ -115,7 +115,7 @@
     expect_no_failed_requests();
 }
 
-// The end of its attempt is told after the request is gone.
+// The end of an attempt that is told after its request is gone must meet no other request.
 TEST_F(dark_target, whose_client_leaves_before_its_end_is_known_does_not_end_the_host)
 {
     warm_up();
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -109,6 +109,7 @@
     EXPECT_EQ(*second, exchange_outcome::answered);
 }
 
+// A cancelled exchange whose answer had arrived already reported its end.
 TEST_F(shared_connection, that_is_closed_by_its_owner_reports_no_end)
 {
     answer.clear(); // the request stays unanswered
--- a/tests/traffic/relay_test.cpp
+++ b/tests/traffic/relay_test.cpp
@@ -403,6 +403,7 @@
     EXPECT_TRUE(single<deliver_answer>());
 }
 
+// The late end of an attempt was not told apart from that of the relay after it.
 TEST_F(relay_case, a_relay_and_an_attempt_are_not_ended_by_the_ends_of_each_other)
 {
     route.timeout = deadline = milliseconds{20'000};
--- a/tests/traffic/send_identity_test.cpp
+++ b/tests/traffic/send_identity_test.cpp
@@ -40,7 +40,6 @@
     struct request_log {
         bool idempotent = true;
         bool answered = false;
-        bool client_left = false;
         int attempts = 0; ///< that reached a target, or may have
         int runs = 0;     ///< attempts and relays that may have run
     };
@@ -81,7 +80,6 @@
         else if (choice < departure && !requests_.empty()) {
             auto const position = draw(0, static_cast<int>(requests_.size()));
             auto const left = std::next(requests_.begin(), position);
-            left->second.client_left = true;
             perform(client_disconnected{left->first});
         }
         else if (choice < restart) {
@@ -105,13 +103,12 @@
 
     void report_ends()
     {
-        for (bool found = true; found;) {
+        while (true) {
             auto const due = std::find_if(sends_.begin(), sends_.end(), [this](auto const& send) {
                 return send.reported <= host_.now;
             });
-            found = due != sends_.end();
-            if (!found) {
-                return;
+            if (due == sends_.end()) {
+                break;
             }
             open_send const ended = *due;
             sends_.erase(due);
@@ -229,8 +226,7 @@
     {
     }
 
-    /** Each attempt that is not overdue holds one slot, until its end is told or it is cancelled.
-     */
+    /** Each attempt that is not overdue holds one slot until it ends or is cancelled. */
     void check_slots() const
     {
         constexpr milliseconds overdue{250};
@@ -255,7 +251,7 @@
     std::map<request_id, request_log> requests_;
     std::vector<open_send> sends_;
     std::vector<mono_time> probes_;
-    std::set<target_id> removed_; ///< at some time, with the slots that were in use
+    std::set<target_id> removed_; ///< at some time, with what was known of their slots
 };
 
 // A host ended with signal 11: the late end of an attempt was taken for that of a later attempt at
@@ -317,6 +313,7 @@
     EXPECT_EQ(before.size(), 1U);
 }
 
+// The end of an attempt that was told after its request was gone met a later one.
 TEST_F(returned_request, of_a_client_that_has_left_is_not_sent_or_answered_by_late_ends)
 {
     feed(client_disconnected{id});
@@ -368,6 +365,7 @@
     send_attempt left; ///< cancelled as late
 };
 
+// Only what a late end says against its target may keep requests away.
 TEST_F(late_end, leaves_the_target_in_use_if_it_says_nothing_against_it)
 {
     feed(ended(left, attempt_end::succeeded));
@@ -392,6 +390,7 @@
     EXPECT_FALSE(gets_requests());
 }
 
+// A target that had asked for a pause got more requests.
 TEST_F(late_end, with_a_pause_that_the_target_asks_for_is_obeyed)
 {
     attempt_ended event = ended(left, attempt_end::refused);
@@ -413,6 +412,7 @@
     EXPECT_TRUE(gets_requests());
 }
 
+// The same for an attempt that the request still waits for.
 TEST_F(late_end, of_a_request_in_progress_says_nothing_of_a_target_that_has_started_again)
 {
     request_id const running = arrive("object");
