Log and count each withdrawal of a running send with its reason

What operators saw: nothing. A host that withdrew a request from a target wrote no line about it, and lines of failed attempts used up the bound on log lines, so that the reason of 502 answers during planned stops could only be inferred (docs/incidents/slow-requests-withdrawn-in-a-stop.md).

Change: cancel_attempt has a reason in place of the flag `overdue`, the time since the send began, and, where there is one, the age of the announced stop and of the belief to be cut off. The forwarder withdraws every exchange in one function, also that of a request whose handling has failed. It writes `send_withdrawn` through a limiter of its own and counts `cove_withdrawn_sends` by reason. `leaving`, `answers_due`, `stopped` and `grace_over` name the open requests and sends. No decision is changed: connections of overdue and timed-out sends are given up as before, those of the others are closed.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -519,7 +519,7 @@
     }
     leaving_ = true;
     mono_time const now = read_clocks().mono;
-    log_event("leaving", {{"open_requests", std::to_string(forwarder_.open_requests())}});
+    log_open_sends("leaving");
     clients_.close_after_responses();
     relays_.close_after_responses();
     send(view_.announce_leaving(state(), now));
@@ -528,11 +528,21 @@
     mono_time const answers_due = now + fraction_of(settings_.grace, last_answer_fraction);
     forwarder_.announce_stop(answers_due);
     timers_.once(answers_due, [this] {
+        log_open_sends("answers_due");
         clients_.refuse_unfinished();
         relays_.refuse_unfinished();
     });
     mono_time const exit_at = now + fraction_of(settings_.grace, exit_fraction);
-    timers_.once(exit_at, [this] { loop_.stop(); });
+    timers_.once(exit_at, [this] {
+        log_open_sends("grace_over");
+        loop_.stop();
+    });
+}
+
+void entry_host::log_open_sends(std::string const& event)
+{
+    log_event(event, {{"open_requests", std::to_string(forwarder_.open_requests())},
+                      {"open_sends", std::to_string(forwarder_.open_sends())}});
 }
 
 /** Stops accepting, then exits as soon as no client connection is left. */
@@ -547,7 +557,7 @@
         clients_.close_idle();
         relays_.close_idle();
         if (clients_.connections() == 0 && relays_.connections() == 0) {
-            log_event("stopped");
+            log_open_sends("stopped");
             loop_.stop();
         }
     });
@@ -744,7 +754,9 @@
            std::to_string(clients_.connections_over_bound()) + "\n";
     out += "# TYPE cove_answers_reclaimed counter\ncove_answers_reclaimed " +
            std::to_string(answers_->reclaims()) + "\n";
-    gauge("log_lines_left_out", log_.dropped());
+    out += forwarder_.withdrawals().prometheus();
+    gauge("open_sends", forwarder_.open_sends());
+    gauge("log_lines_left_out", log_.dropped() + forwarder_.withdrawals().left_out());
     gauge("cut_off_from_targets", forwarder_.cut_off() ? 1 : 0);
     out += "# TYPE cove_relayed_requests counter\ncove_relayed_requests " +
            std::to_string(forwarder_.relayed_requests()) + "\n";
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -66,6 +66,7 @@
     void report_unread(milliseconds time);
     void reload();
     void start_leaving();
+    void log_open_sends(std::string const& event);
     void finish_leaving();
 
     bool on_config(config_document const& document, std::string packed, std::string const& source);
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -232,10 +232,12 @@
     while (!performing_ && !failed_.empty()) {
         request_id const id = failed_.back();
         failed_.pop_back();
+        if (auto const found = open_.find(id); found != open_.end() && found->second.exchange) {
+            withdraw(found->second, {found->second.exchange->id, withdrawal::host_failed});
+        }
         perform(client_disconnected{id, true}); // frees its slot, wherever it is
         if (auto const found = open_.find(id); found != open_.end()) {
             record_outcome(found->second, "host_failed");
-            abort_exchange(found->second, false);
             open_.erase(found);
         }
         bool const relayed = (id.value & relayed_id_bit) != 0;
@@ -525,16 +527,16 @@
     }
 }
 
-/** Ends the exchange in progress, if any. @param overdue as of cancel_attempt. */
-void request_forwarder::abort_exchange(open_request& open, bool overdue)
+/** Ends the exchange in progress. */
+void request_forwarder::withdraw(open_request& open, cancel_attempt const& effect)
 {
-    if (!open.exchange) {
-        return;
-    }
     running_exchange const aborted = *open.exchange;
     open.exchange.reset();
     open.may_have_run = open.may_have_run || aborted.used->sending();
-    if (overdue) {
+    withdrawals_.note(effect,
+                      {open.attempt_id, aborted.peer.value, open.service, aborted.used->sending()},
+                      read_clocks().mono);
+    if (effect.reason == withdrawal::overdue || effect.reason == withdrawal::time_limit) {
         aborted.pool.give_up(aborted.peer, aborted.used);
     }
     else {
@@ -542,6 +544,13 @@
     }
 }
 
+std::size_t request_forwarder::open_sends() const
+{
+    return static_cast<std::size_t>(std::count_if(open_.begin(), open_.end(), [](auto const& item) {
+        return item.second.exchange.has_value();
+    }));
+}
+
 /** Gives up connecting, so that the request goes elsewhere while there is time. */
 void request_forwarder::limit_connect_time(connection const& used)
 {
@@ -766,7 +775,7 @@
         found->second.exchange->id != effect.id) {
         return; // its connection has ended, and the target is being probed
     }
-    abort_exchange(found->second, effect.overdue);
+    withdraw(found->second, effect);
 }
 
 void request_forwarder::execute(deliver_answer const& effect)
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -3,6 +3,7 @@
 
 #include "host/request_admission.h"
 #include "host/target_connection_pool.h"
+#include "host/withdrawal_log.h"
 #include "host/workspace_quotas.h"
 #include "http/server.h"
 #include "log/log_limiter.h"
@@ -107,6 +108,9 @@
     [[nodiscard]] std::uint64_t blocked_requests() const { return blocked_requests_; }
     [[nodiscard]] std::uint64_t failed_requests() const { return failed_requests_; }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    /** @return number of requests that are at a target or another host. */
+    [[nodiscard]] std::size_t open_sends() const;
+    [[nodiscard]] withdrawal_log const& withdrawals() const { return withdrawals_; }
     [[nodiscard]] std::size_t queued_requests() const { return traffic_.queued_requests(); }
     [[nodiscard]] std::uint64_t ranked_requests() const { return traffic_.ranked_requests(); }
     [[nodiscard]] route_table const* routes() const { return routes_.get(); }
@@ -174,7 +178,7 @@
     void limit_connect_time(connection const& used);
     static void begin_exchange(open_request& open, running_exchange exchange);
     static void end_exchange(open_request& open, send_id const& id);
-    static void abort_exchange(open_request& open, bool overdue);
+    void withdraw(open_request& open, cancel_attempt const& effect);
     void on_relay_end(relay_request const& relay, connection const& used, exchange_result result);
     void on_attempt_end(send_attempt const& attempt, connection const& used, bool fresh,
                         exchange_result result);
@@ -192,6 +196,7 @@
     loop_timers& timers_;
     header_names names_;
     log_limiter& log_;
+    withdrawal_log withdrawals_;
     loop_monitor& monitor_;
     traffic traffic_;
     target_connection_pool pool_;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -320,7 +320,7 @@
     }
     service_id const service = request.service;
     if (request.in_progress()) {
-        abandon_send(request, false);
+        abandon_send(request, withdrawal::client_left);
     }
     remove_request(event.id);
     dispatch_queue(service);
@@ -497,6 +497,7 @@
 void traffic::on(stop_announced const& event)
 {
     answers_due_ = event.answers_due;
+    stop_announced_ = now_;
     for (auto& [id, request] : requests_) {
         if (!request.in_progress()) {
             request.expires = std::min(request.expires, event.answers_due);
@@ -528,12 +529,12 @@
     constexpr double late_answer_factor = 2;     // so late, the link may be cut; probes tell
     constexpr double late_answer_floor_ms = 250;
     if (now_ >= request.expires + timeout_grace) {
-        abandon_send(request, true);
+        abandon_send(request, withdrawal::time_limit);
         refuse(request.id, refusal::gave_up, milliseconds{0});
         return;
     }
     if (answers_due_ && now_ >= *answers_due_ && request.expires > *answers_due_) {
-        abandon_send(request, false);
+        abandon_send(request, withdrawal::stop);
         refuse(request.id, refusal::lost_answer, milliseconds{0});
         return;
     }
@@ -579,7 +580,7 @@
         if (!retry_limiter_.take(request.service, hosts_in_total_, now_)) {
             return;
         }
-        abandon_send(request, true);
+        abandon_send(request, withdrawal::overdue);
         request.may_have_run = true;
         send(request, option);
         return;
@@ -606,9 +607,14 @@
 }
 
 /** Cancels the send in progress, so that the request can be sent again or be answered. */
-void traffic::abandon_send(pending_request& request, bool overdue)
+void traffic::abandon_send(pending_request& request, withdrawal reason)
 {
-    effects_.push_back(cancel_attempt{request.last_send(), overdue});
+    auto const since = [this](std::optional<mono_time> start) -> std::optional<milliseconds> {
+        return start ? std::optional(std::chrono::duration_cast<milliseconds>(now_ - *start))
+                     : std::nullopt;
+    };
+    effects_.push_back(cancel_attempt{request.last_send(), reason, *since(request.sent),
+                                      since(stop_announced_), since(cut_off_since_)});
     if (request.target) {
         if (auto const found = targets_.find(*request.target); found != targets_.end()) {
             found->second.attempt_cancelled(request.last_send());
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -215,7 +215,7 @@
     void refuse(request_id id, refusal reason, milliseconds until_slot_free);
     void remove_request(request_id id);
     [[nodiscard]] pending_request* find_in_progress(send_id const& id);
-    void abandon_send(pending_request& request, bool overdue);
+    void abandon_send(pending_request& request, withdrawal reason);
     void check_attempt(pending_request& request);
     void retry_on_other_target(pending_request& request);
 
@@ -261,7 +261,9 @@
     bool zone_peers_known_ = true;       ///< see peers_reported
     int hosts_in_total_ = 1;
     std::uint64_t ranked_requests_ = 0;
-    std::optional<mono_time> answers_due_; ///< set once this host stops
+    std::optional<mono_time> answers_due_;    ///< set once this host stops
+    std::optional<mono_time> stop_announced_; ///< set with answers_due_
+    std::optional<mono_time> cut_off_since_;  ///< set while the host takes itself for cut off
 };
 
 } // namespace cove
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -16,10 +16,23 @@
     bool idempotent = false;  ///< may run twice, so a broken connection costs only a retry
 };
 
+/** Why a send is withdrawn before its end. */
+enum class withdrawal {
+    overdue,     ///< its answer is probably lost; the request is sent again
+    cut_off,     ///< this host has lost its links to all targets; other hosts carry the request
+    client_left, ///< nobody waits for the answer
+    time_limit,  ///< the time of the request is over
+    stop,        ///< this host stops and has to answer now
+    host_failed, ///< an error in this host has ended the handling of the request
+};
+
 /** Cancel an attempt or a relay and discard its result, unless it has ended already. */
 struct cancel_attempt {
     send_id id;
-    bool overdue = false; ///< because its answer is
+    withdrawal reason = withdrawal::overdue;
+    milliseconds running_for{};               ///< since the send began
+    std::optional<milliseconds> stopping_for; ///< since the stop was announced; unset: it was not
+    std::optional<milliseconds> cut_off_for;  ///< since the links were found lost; unset: they work
 };
 
 /** Forward the answer of the target to the client. */
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -40,6 +40,7 @@
     for (auto& [id, target] : targets_) {
         target.forgive(now_);
     }
+    cut_off_since_ = reach_.cut_off() ? std::optional(now_) : std::nullopt;
     effects_.emplace_back(links_changed{reach_.cut_off()});
     if (reach_.cut_off()) {
         move_running_to_relays(); // the next report names the hosts that carry them
@@ -57,7 +58,7 @@
             !retry_limiter_.take(request.service, hosts_in_total_, now_)) {
             continue;
         }
-        abandon_send(request, false);
+        abandon_send(request, withdrawal::cut_off);
         request.may_have_run = true;
         queues_[request.service].push_back(id);
     }
--- a/tests/host/entry_host_test.cpp
+++ b/tests/host/entry_host_test.cpp
@@ -293,8 +293,10 @@
     std::string const& text = answer.response.body();
     for (char const* const line :
          {"cove_config_version 7\n", "cove_targets_revision 9\n", "cove_targets 1\n",
-          "cove_log_lines_left_out 0\n", "outcome=\"served\"", "cove_loop_delay_seconds_count ",
-          "cove_request_unread_seconds_count 1\n",
+          "cove_log_lines_left_out 0\n", "cove_open_sends 0\n",
+          "cove_withdrawn_sends{reason=\"overdue\"} 0\n",
+          "cove_withdrawn_sends{reason=\"cut_off\"} 0\n", "outcome=\"served\"",
+          "cove_loop_delay_seconds_count ", "cove_request_unread_seconds_count 1\n",
           "cove_loop_work_seconds_count{kind=\"attempt_ended\"} 1\n"}) {
         EXPECT_NE(text.find(line), std::string::npos) << line << text;
     }
