Let a stopping host relay again only what can end before its stop

What callers saw: nothing was reported. What does not end before the answers of that host are due is broken off while a target works on it, and the client gets 502 instead of 503.

Cause: place() asks whether a request ends before the stop; relay_ended, which relays without it, did not.

Evidence: relaying_host_stop_after.does_not_relay_again_what_may_not_end (relay refused, relay not sent) fails without the new condition, with the condition it passes.

Change: the next relay has the same condition as a placement. A request that may have run is still relayed: its only other answer is 502. The refusal of the other host goes to the client as before, with its time to come back.

Why it works: a request in this state runs nowhere, so its refusal withdraws nothing.

relay_stop_test.cpp also holds what is true already: a stopping host withdraws no relay before its answers are due, nor does one whose carrying host stops; a carrying host that stops refuses as not run what may not end.

--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -144,7 +144,9 @@
     if (may_have_run) {
         request.attempts = request.max_attempts; // the other host may have used all of them
     }
-    if (now_ < request.expires && choose_relay(request) != nullptr) {
+    // What may have run cannot be refused as not run, so it takes every chance to be answered.
+    bool const may_begin = request.may_have_run || ends_before_stop(request);
+    if (now_ < request.expires && may_begin && choose_relay(request) != nullptr) {
         relay(request);
     }
     else if (event.end == relay_end::refused && !request.may_have_run) {
--- /dev/null
+++ b/tests/traffic/relay_stop_test.cpp
@@ -0,0 +1,161 @@
+/** @file Relayed requests while the host that relays them, or the one that carries them, stops. */
+
+#include "traffic/traffic_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace cove {
+namespace {
+
+constexpr milliseconds route_timeout{8000};
+constexpr milliseconds grace{1000}; ///< until the answers of a stopping host are due
+
+/** A host whose requests have their home in another region and are carried by hosts there. */
+class relaying_host_stop : public traffic_fixture, public testing::Test {
+protected:
+    relaying_host_stop()
+    {
+        route.timeout = deadline = route_timeout;
+        route.home_regions = {region_id("s")};
+        report_relays({first, second});
+    }
+
+    void report_relays(std::vector<relay_host> const& hosts)
+    {
+        peers_reported peers;
+        peers.hosts_in_zone = {node_id("h0")};
+        peers.relays = hosts;
+        feed(peers);
+    }
+
+    void stop() { feed(stop_announced{now + grace}); }
+
+    relay_host const first{zone_id("away"), "10.0.1.1:7"};
+    relay_host const second{zone_id("away"), "10.0.1.2:7"};
+};
+
+class relaying_host_stop_after : public relaying_host_stop,
+                                 public testing::WithParamInterface<relay_end> {};
+
+// A host that stopped had another one begin a request that it would have broken off itself.
+TEST_P(relaying_host_stop_after, does_not_relay_again_what_may_not_end)
+{
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    stop();
+    end_relay(id, GetParam());
+    EXPECT_FALSE(single<relay_request>());
+    if (GetParam() == relay_end::refused) {
+        EXPECT_TRUE(single<deliver_answer>()); // with the time to come back
+        return;
+    }
+    ASSERT_TRUE(single<answer_locally>());
+    EXPECT_EQ(single<answer_locally>()->reason, refusal::no_room);
+}
+
+INSTANTIATE_TEST_SUITE_P(end, relaying_host_stop_after,
+                         testing::Values(relay_end::refused, relay_end::not_sent));
+
+TEST_F(relaying_host_stop, relays_again_what_ends_in_time)
+{
+    deadline = grace / 2;
+    request_id const id = arrive();
+    stop();
+    end_relay(id, relay_end::refused);
+    EXPECT_TRUE(single<relay_request>());
+}
+
+TEST_F(relaying_host_stop, relays_again_what_may_have_run)
+{
+    entries = {target("far", "away", 2)};
+    feed(targets_listed{entries});
+    peers_reported peers;
+    peers.hosts_in_zone = {node_id("h0")};
+    peers.remote_quotas = {{zone_id("away"), desk, 1}};
+    feed(peers);
+    request_id const id = arrive();
+    ASSERT_TRUE(single<send_attempt>());
+    report_relays({first, second}); // and no quota
+    end(id, target_id("far"), attempt_end::broken);
+    ASSERT_TRUE(single<relay_request>());
+    stop();
+    end_relay(id, relay_end::refused);
+    EXPECT_TRUE(single<relay_request>());
+}
+
+TEST_F(relaying_host_stop, withdraws_no_relay_until_its_answers_are_due)
+{
+    request_id const id = arrive();
+    stop();
+    advance(grace - milliseconds{40});
+    EXPECT_TRUE(advance_effects.empty());
+    end_relay(id, relay_end::answered);
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
+TEST_F(relaying_host_stop, withdraws_no_relay_as_the_host_that_carries_it_stops)
+{
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    report_relays({});
+    EXPECT_TRUE(effects.empty());
+    advance(route_timeout / 2);
+    EXPECT_TRUE(advance_effects.empty());
+    end_relay(id, relay_end::answered);
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
+TEST_F(relaying_host_stop, tries_another_host_if_the_first_one_stops)
+{
+    request_id const id = arrive();
+    ASSERT_TRUE(single<relay_request>());
+    std::string const asked = single<relay_request>()->address;
+    end_relay(id, relay_end::refused);
+    ASSERT_TRUE(single<relay_request>());
+    EXPECT_NE(single<relay_request>()->address, asked);
+}
+
+/** A host that carries requests for others. */
+class carrying_host_stop : public traffic_fixture, public testing::Test {
+protected:
+    carrying_host_stop()
+    {
+        route.timeout = deadline = route_timeout;
+        list(4);
+    }
+
+    request_id arrive_relayed()
+    {
+        request_id const id(next++);
+        request_arrived event{
+            id, std::make_shared<route_config const>(route), desk, object_key("o"), "c", deadline};
+        event.relayed = true;
+        feed(event);
+        return id;
+    }
+};
+
+TEST_F(carrying_host_stop, refuses_as_not_run_what_may_not_end)
+{
+    feed(stop_announced{now + grace});
+    arrive_relayed();
+    EXPECT_FALSE(single<send_attempt>());
+    ASSERT_TRUE(single<answer_locally>());
+    EXPECT_EQ(single<answer_locally>()->reason, refusal::no_room);
+}
+
+TEST_F(carrying_host_stop, leaves_requests_at_the_target_until_its_answers_are_due)
+{
+    request_id const id = arrive_relayed();
+    auto const sent = single<send_attempt>();
+    ASSERT_TRUE(sent);
+    feed(stop_announced{now + grace});
+    advance(grace - milliseconds{40});
+    EXPECT_TRUE(of_kind<cancel_attempt>(advance_effects).empty());
+    EXPECT_TRUE(of_kind<answer_locally>(advance_effects).empty());
+    end(id, sent->attempt.target, attempt_end::succeeded);
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
+} // namespace
+} // namespace cove
