Log what each round of probes of the links to targets has shown

A line for each round: how many probes reached a target, how many got no reply in time as opposed to a refusal, the age of the last answer and of the last bytes of any target, the sends that wait for a connection. It is not limited, as the failures that lead to a round use up the lines of a second; there are at most two rounds a second.

--- a/src/emulator/zone_emulator.h
+++ b/src/emulator/zone_emulator.h
@@ -96,6 +96,7 @@
     void execute(log_blocked_request const& /*effect*/) {}
     void execute(relay_request const& /*effect*/) {} // no link is cut
     void execute(probe_target const& /*effect*/) {}  // feed() answers it
+    void execute(links_probed const& /*effect*/) {}
     void execute(links_changed const& /*effect*/) {}
     void report_in_flight();
     void every(milliseconds interval, std::function<void()> const& fn);
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -627,10 +627,43 @@
 void request_forwarder::execute(probe_target const& effect)
 {
     pool_.probe(effect.target, effect.address, [this](probe_result result) {
-        feed(probe_ended{result == probe_result::reached});
+        feed(probe_ended{result == probe_result::reached, result == probe_result::timed_out,
+                         last_received_from_targets()});
     });
 }
 
+/** @return when bytes last came on a connection to a target that is in use. */
+mono_time request_forwarder::last_received_from_targets() const
+{
+    mono_time last{};
+    for (auto const& [id, open] : open_) {
+        if (open.exchange && &open.exchange->pool == &pool_) {
+            last = std::max(last, open.exchange->used->last_received());
+        }
+    }
+    return last;
+}
+
+void request_forwarder::execute(links_probed const& effect)
+{
+    auto const text_of = [](std::optional<milliseconds> time) {
+        return time ? std::to_string(time->count()) : "";
+    };
+    auto const connecting = std::count_if(open_.begin(), open_.end(), [this](auto const& item) {
+        auto const& exchange = item.second.exchange;
+        return exchange && &exchange->pool == &pool_ && !exchange->used->connected();
+    });
+    probe_round const& round = effect.round;
+    // Not limited: the failures that lead to a round use up the lines of a second.
+    log_event("links_probed", {{"probes", std::to_string(round.probes)},
+                               {"reached", std::to_string(round.reached)},
+                               {"timed_out", std::to_string(round.timed_out)},
+                               {"answer_ms", text_of(round.answer)},
+                               {"received_ms", text_of(round.receipt)},
+                               {"connecting", std::to_string(connecting)},
+                               {"open", std::to_string(open_.size())}});
+}
+
 void request_forwarder::execute(links_changed const& effect)
 {
     log_.event(effect.cut_off ? "cut_off_from_targets" : "targets_reached_again", {},
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -161,12 +161,14 @@
     void execute(log_blocked_request const& effect);
     void execute(relay_request const& effect);
     void execute(probe_target const& effect);
+    void execute(links_probed const& effect);
     void execute(links_changed const& effect);
     std::optional<int> take_attempts_left(http_request& request);
     void accept(request_id id, open_request open, bool relayed);
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
     void give_back(open_request const& open);
+    [[nodiscard]] mono_time last_received_from_targets() const;
     [[nodiscard]] bool client_connected(request_id id) const;
     [[nodiscard]] exchange_connection::condition still_wanted(request_id id) const;
     [[nodiscard]] static http_request header_of(open_request const& open, milliseconds time_left,
--- a/src/host/target_connection_pool.cpp
+++ b/src/host/target_connection_pool.cpp
@@ -104,7 +104,7 @@
     auto const tested = std::make_shared<exchange_connection>(loop_, endpoint_of(address), limits_);
     auto const timeout = timers_.once(read_clocks().mono + probe_timeout, [tested, done] {
         tested->close();
-        done(probe_result::no_answer);
+        done(probe_result::timed_out);
     });
     tested->connect([this, target, tested, timeout, done](boost::system::error_code error) {
         timers_.cancel(timeout);
@@ -115,7 +115,7 @@
         }
         tested->close();
         done(error == boost::asio::error::connection_refused ? probe_result::refused
-                                                             : probe_result::no_answer);
+                                                             : probe_result::failed);
     });
 }
 
--- a/src/host/target_connection_pool.h
+++ b/src/host/target_connection_pool.h
@@ -18,7 +18,8 @@
 enum class probe_result {
     reached,   ///< a connection was established
     refused,   ///< the address refuses connections
-    no_answer, ///< no reply in time, or another error
+    timed_out, ///< no reply in time
+    failed,    ///< another error
 };
 
 /** Keeps connections open between requests, for as long as the targets keep them open. */
--- a/src/traffic/reach_monitor.cpp
+++ b/src/traffic/reach_monitor.cpp
@@ -51,6 +51,8 @@
 void reach_monitor::attempt_answered(mono_time now)
 {
     answers_.succeeded(now);
+    last_answer_ = now;
+    received(now);
 }
 
 void reach_monitor::connected(mono_time now)
@@ -72,14 +74,16 @@
     pending_ = count;
     probes_ = count;
     reached_ = 0;
+    timed_out_ = 0;
 }
 
-bool reach_monitor::probe_ended(bool reached, mono_time now)
+bool reach_monitor::probe_ended(bool reached, mono_time now, bool timed_out)
 {
     if (pending_ == 0) {
         return false;
     }
     reached_ += reached ? 1 : 0;
+    timed_out_ += timed_out ? 1 : 0;
     --pending_;
     return pending_ == 0 && end_round(now);
 }
@@ -110,6 +114,15 @@
     return true;
 }
 
+probe_round reach_monitor::round(mono_time now) const
+{
+    auto const age = [now](mono_time at) {
+        return at == mono_time{} ? std::optional<milliseconds>()
+                                 : std::chrono::duration_cast<milliseconds>(now - at);
+    };
+    return {probes_, reached_, timed_out_, age(last_answer_), age(last_received_)};
+}
+
 double reach_monitor::relay_share(mono_time now) const
 {
     if (cut_off_) {
--- a/src/traffic/reach_monitor.h
+++ b/src/traffic/reach_monitor.h
@@ -3,11 +3,21 @@
 
 #include "traffic/target_type.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
 namespace cove {
 
+/** What a round of probes has shown. */
+struct probe_round {
+    std::size_t probes = 0;
+    std::size_t reached = 0;
+    std::size_t timed_out = 0;           ///< the rest was refused
+    std::optional<milliseconds> answer;  ///< age of the last answer of a target, if there was one
+    std::optional<milliseconds> receipt; ///< age of the last bytes from a target, if any came
+};
+
 /**
  * Judges the links of this host to the targets.
  *
@@ -37,8 +47,21 @@
     /** A round of @p count probes has been started. */
     void probes_started(std::size_t count, mono_time now);
 
-    /** One probe of the round has ended. @return whether cut_off() has changed. */
-    bool probe_ended(bool reached, mono_time now);
+    /**
+     * One probe of the round has ended.
+     * @param timed_out it was not reached, and nothing refused it either.
+     * @return whether cut_off() has changed.
+     */
+    bool probe_ended(bool reached, mono_time now, bool timed_out = false);
+
+    /** Bytes came from a target. @param at when the last ones did. */
+    void received(mono_time at) { last_received_ = std::max(last_received_, at); }
+
+    /** @return whether all probes of the last round have ended. */
+    [[nodiscard]] bool round_ended() const { return pending_ == 0; }
+
+    /** @return the last round, as it stands now. */
+    [[nodiscard]] probe_round round(mono_time now) const;
 
     /** @return whether the host is cut off from the targets. */
     [[nodiscard]] bool cut_off() const { return cut_off_; }
@@ -65,8 +88,11 @@
     std::size_t pending_ = 0; ///< probes of the current round
     std::size_t probes_ = 0;  ///< started in the current round
     std::size_t reached_ = 0; ///< of these
-    int good_rounds_ = 0;     ///< in a row, while cut off
-    int rounds_needed_ = 0;   ///< of them, to end the cut
+    std::size_t timed_out_ = 0;
+    mono_time last_answer_{};
+    mono_time last_received_{};
+    int good_rounds_ = 0;   ///< in a row, while cut off
+    int rounds_needed_ = 0; ///< of them, to end the cut
     bool cut_off_ = false;
     std::optional<mono_time> mended_; ///< end of the last cut
 };
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -1,6 +1,7 @@
 #pragma once
 /** @file Effects: actions that the traffic reducer requests from its caller. */
 
+#include "traffic/reach_monitor.h"
 #include "traffic/traffic_event.h"
 
 #include <string>
@@ -71,6 +72,11 @@
     std::string address;
 };
 
+/** A round of probes has ended. */
+struct links_probed {
+    probe_round round;
+};
+
 /** This host has lost its links to all targets, or has them again. */
 struct links_changed {
     bool cut_off = false;
@@ -78,7 +84,7 @@
 
 using traffic_effect =
     std::variant<send_attempt, cancel_attempt, deliver_answer, answer_locally, report_crashes,
-                 log_blocked_request, relay_request, probe_target, links_changed>;
+                 log_blocked_request, relay_request, probe_target, links_probed, links_changed>;
 using traffic_effects = std::vector<traffic_effect>;
 
 } // namespace cove
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -83,6 +83,9 @@
 /** The end of a probe of the link to a target. */
 struct probe_ended {
     bool reached = false;
+    /// Only if not reached: there was no reply in time, as opposed to a refusal.
+    bool timed_out = false;
+    mono_time last_received{}; ///< when bytes last came from any target; the epoch before that
 };
 
 /** The client disconnected and no longer waits for the answer. */
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -33,7 +33,12 @@
 
 void traffic::on(probe_ended const& event)
 {
-    if (!reach_.probe_ended(event.reached, now_)) {
+    reach_.received(event.last_received);
+    bool const changed = reach_.probe_ended(event.reached, now_, event.timed_out);
+    if (reach_.round_ended()) {
+        effects_.emplace_back(links_probed{reach_.round(now_)});
+    }
+    if (!changed) {
         return;
     }
     // What failed was not the targets.
