Leave running requests where they are when a stopping host takes itself for cut off

What callers saw (LOST): after SIGTERM of a host they read 502 for requests at which a target was at work.

Cause: a host that takes itself for cut off withdraws the idempotent requests that run, to let other hosts carry them. move_running_to_relays() did not ask whether a stop is announced. Once queued, such a request could not end before the stop and was answered 502. Of the two paths that withdraw a request to send it again, only the one for overdue requests had the rule.

Change: withdraw_to_send_again() is the one way to withdraw a request that is sent again, and may_be_sent_again() the one place of its rule: no stop is announced, the route is idempotent, an attempt is left, and the request is not blocked for ending targets. The last part is new for hosts that are cut off. A stopping host ends a send only for a client that has left, the request's own time, or when answers are due.

Evidence: stop_property plays ends, probes, peers' reports, relays, crashes, lists, evacuations and leaving clients before and after an announced stop. Why the belief was false is not changed here.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -557,14 +557,10 @@
     retry_on_other_target(request);
 }
 
-/**
- * Moves an idempotent request to another target if one can take it immediately. A host that stops
- * moves none: if the other target refuses the request too, nothing is left to answer it with.
- */
+/** Moves an idempotent request to another target if one can take it immediately. */
 void traffic::retry_on_other_target(pending_request& request)
 {
-    if (answers_due_ || request.attempts >= request.max_attempts ||
-        crashes_.blocked(request.fingerprint, now_)) {
+    if (!may_be_sent_again(request)) {
         return;
     }
     target_id const previous = *request.target;
@@ -577,16 +573,38 @@
             !option.candidate->target->can_send(rates_for(*option.candidate->target), now_)) {
             continue;
         }
-        if (!retry_limiter_.take(request.service, hosts_in_total_, now_)) {
-            return;
+        if (withdraw_to_send_again(request, withdrawal::overdue)) {
+            send(request, option);
         }
-        abandon_send(request, withdrawal::overdue);
-        request.may_have_run = true;
-        send(request, option);
         return;
     }
 }
 
+/**
+ * @return whether a running request may be withdrawn to send it again. A host that stops leaves
+ * requests where they run: if no other target takes one, nothing is left to answer it with.
+ */
+bool traffic::may_be_sent_again(pending_request const& request) const
+{
+    return !answers_due_ && request.route->idempotent && request.attempts < request.max_attempts &&
+           !crashes_.blocked(request.fingerprint, now_);
+}
+
+/**
+ * Withdraws a running request that is sent again. No other function withdraws one that may still be
+ * answered. @return whether it was withdrawn.
+ */
+bool traffic::withdraw_to_send_again(pending_request& request, withdrawal reason)
+{
+    if (!may_be_sent_again(request) ||
+        !retry_limiter_.take(request.service, hosts_in_total_, now_)) {
+        return false;
+    }
+    abandon_send(request, reason);
+    request.may_have_run = true;
+    return true;
+}
+
 void traffic::remove_request(request_id id)
 {
     auto const found = requests_.find(id);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -216,6 +216,8 @@
     void remove_request(request_id id);
     [[nodiscard]] pending_request* find_in_progress(send_id const& id);
     void abandon_send(pending_request& request, withdrawal reason);
+    [[nodiscard]] bool may_be_sent_again(pending_request const& request) const;
+    bool withdraw_to_send_again(pending_request& request, withdrawal reason);
     void check_attempt(pending_request& request);
     void retry_on_other_target(pending_request& request);
 
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -53,14 +53,10 @@
 void traffic::move_running_to_relays()
 {
     for (auto& [id, request] : requests_) {
-        if (!request.target || !request.route->idempotent || request.relayed ||
-            request.attempts >= request.max_attempts ||
-            !retry_limiter_.take(request.service, hosts_in_total_, now_)) {
-            continue;
+        if (request.target && !request.relayed &&
+            withdraw_to_send_again(request, withdrawal::cut_off)) {
+            queues_[request.service].push_back(id);
         }
-        abandon_send(request, withdrawal::cut_off);
-        request.may_have_run = true;
-        queues_[request.service].push_back(id);
     }
 }
 
--- a/tests/traffic/stop_test.cpp
+++ b/tests/traffic/stop_test.cpp
@@ -95,5 +95,31 @@
     EXPECT_TRUE(single<deliver_answer>());
 }
 
+// LOST: a stopping host took itself for cut off, withdrew the requests that ran, and answered 502.
+TEST_F(stopping_host, leaves_requests_at_their_targets_when_probes_fail)
+{
+    constexpr int requests = 6;
+    list(4, requests);
+    std::vector<request_id> running;
+    for (int i = 0; i < requests; ++i) {
+        running.push_back(arrive("o" + std::to_string(i)));
+        ASSERT_TRUE(single<send_attempt>());
+    }
+    stop_within(milliseconds{5000});
+    advance(milliseconds{1200}); // so late that the links are tested
+    for (std::size_t i = of_kind<probe_target>(advance_effects).size(); i > 0; --i) {
+        feed(probe_ended{false});
+        EXPECT_TRUE(of_kind<cancel_attempt>(effects).empty());
+    }
+    ASSERT_TRUE(reducer.cut_off());
+    advance(milliseconds{1000});
+    EXPECT_TRUE(of_kind<cancel_attempt>(advance_effects).empty());
+    EXPECT_TRUE(of_kind<answer_locally>(advance_effects).empty());
+    for (request_id const& id : running) {
+        end(id, attempts.at(id).target, attempt_end::succeeded);
+        EXPECT_TRUE(single<deliver_answer>());
+    }
+}
+
 } // namespace
 } // namespace cove
