Send a request again during a stop if it may have run before

What callers saw (LOST): a host withdrew a slow request from its target and sent it to another one; then it got SIGTERM, the second target refused the request, and the client read 502 with attempts and time left.

Cause: place() refuses what may not end before the stop. That is right for a request that has not run: the client gets 503 and goes elsewhere. One that may have run can't be refused so, and becomes a lost answer.

Change: a stopping host tries such a request, if it came before the stop was announced, as long as there is time: it is sent, or waits for room until answers are due. Later ones are refused as before; they might be broken off at work. A request that comes back to the queue during a stop gets only the time until answers are due, as one that was queued when it began.

Weighed: the first send open until the second has begun. It would also help a request without an attempt left, but a target's refusal is only known at the end of the second exchange, so that the forwarder needs two exchanges for a request at once, and the first one counts against the room of its target all the while.

--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -208,6 +208,7 @@
                                        std::vector<placement_candidate>& candidates,
                                        std::vector<std::size_t> const& ranks);
     [[nodiscard]] bool ends_before_stop(pending_request const& request);
+    [[nodiscard]] bool must_be_tried(pending_request const& request) const;
     void wait_or_refuse(pending_request& request, placement_round& round,
                         placement_option const* queued_for);
     void send(pending_request& request, placement_option const& option);
--- a/src/traffic/traffic_placement.cpp
+++ b/src/traffic/traffic_placement.cpp
@@ -361,13 +361,23 @@
                *answers_due_;
 }
 
+/**
+ * @return whether a stopping host tries a request as long as there is time: it may have run, so
+ * that it cannot be refused as not run, and came before the stop was announced.
+ */
+bool traffic::must_be_tried(pending_request const& request) const
+{
+    return stop_announced_ && request.may_have_run && request.arrived <= *stop_announced_;
+}
+
 /** Sends a queued request, leaves it in the queue, or refuses it. */
 void traffic::place(pending_request& request, placement_round& round)
 {
-    if (!ends_before_stop(request)) {
+    if (!must_be_tried(request) && !ends_before_stop(request)) {
         refuse(request.id, refusal::no_room, milliseconds{0});
         return;
     }
+    request.expires = std::min(request.expires, answers_due_.value_or(mono_time::max()));
     if (wants_relay(request) && relay(request)) {
         return;
     }
@@ -429,6 +439,10 @@
     if (request.home_elsewhere && !request.relayed && relay(request)) {
         return;
     }
+    if (must_be_tried(request)) {
+        keep_waiting();
+        return;
+    }
     double const left = as_ms(request.expires - now_);
     double const held = as_ms(now_ - request.arrived);
     double const hold = (left + held) * max_hold_share;
--- a/tests/traffic/stop_test.cpp
+++ b/tests/traffic/stop_test.cpp
@@ -43,6 +43,65 @@
     }
 };
 
+/** A request that was withdrawn as overdue before the stop and runs at a second target. */
+class withdrawn_before_stop : public stopping_host {
+protected:
+    void SetUp() override
+    {
+        route.max_attempts = 3;
+        route.sticky = false;
+        list(3, 1);
+        serve(milliseconds{900});
+        id = arrive("o");
+        target_id const first = single<send_attempt>()->attempt.target;
+        for (int i = 0; i < 100 && attempts.at(id).target == first; ++i) {
+            advance(milliseconds{20});
+        }
+        target = attempts.at(id).target;
+        ASSERT_NE(target, first);
+    }
+
+    request_id id;
+    target_id target; ///< the second one
+};
+
+// LOST: the second target refused it after the signal, and it was answered 502 with attempts left.
+TEST_F(withdrawn_before_stop, is_sent_again_with_the_time_that_is_left)
+{
+    stop_within(milliseconds{1000});
+    end(id, target, attempt_end::refused);
+    ASSERT_TRUE(single<send_attempt>());
+    EXPECT_EQ(single<send_attempt>()->time_left, milliseconds{1000});
+    EXPECT_NE(single<send_attempt>()->attempt.target, target);
+}
+
+// LOST: as above, while no target has room.
+TEST_F(withdrawn_before_stop, waits_for_room_until_answers_are_due)
+{
+    std::vector const others{arrive("o"), arrive("o")};
+    ASSERT_EQ(attempts.size(), 4U);
+    stop_within(milliseconds{1000});
+    end(id, target, attempt_end::refused);
+    EXPECT_TRUE(effects.empty());
+    advance_effects.clear();
+    advance(milliseconds{500});
+    EXPECT_TRUE(of_kind<answer_locally>(advance_effects).empty());
+    for (request_id const& other : others) {
+        end(other, attempts.at(other).target, attempt_end::succeeded);
+    }
+    EXPECT_EQ(attempts.at(id).id.number, send_number(3));
+}
+
+// One that arrived later is still refused: it would be broken off when answers are due.
+TEST_F(withdrawn_before_stop, does_not_make_room_for_requests_that_come_later)
+{
+    stop_within(milliseconds{1000});
+    arrive("o");
+    EXPECT_FALSE(single<send_attempt>());
+    ASSERT_TRUE(single<answer_locally>());
+    EXPECT_EQ(single<answer_locally>()->reason, refusal::no_room);
+}
+
 TEST_F(stopping_host, refuses_as_not_run_what_may_not_end)
 {
     serve(milliseconds{900});
