--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -208,6 +208,7 @@
                                        std::vector<placement_candidate>& candidates,
                                        std::vector<std::size_t> const& ranks);
     [[nodiscard]] bool ends_before_stop(pending_request const& request);
+    [[nodiscard]] bool must_be_tried(pending_request const& request) const;
     void wait_or_refuse(pending_request& request, placement_round& round,
                         placement_option const* queued_for);
     void send(pending_request& request, placement_option const& option);
@@ -216,6 +217,8 @@
     void remove_request(request_id id);
     [[nodiscard]] pending_request* find_in_progress(send_id const& id);
     void abandon_send(pending_request& request, withdrawal reason);
+    [[nodiscard]] bool may_be_sent_again(pending_request const& request) const;
+    bool withdraw_to_send_again(pending_request& request, withdrawal reason);
     void check_attempt(pending_request& request);
     void retry_on_other_target(pending_request& request);
 
