Log what is still owed when a planned stop ends

A process that ended at the end of its grace time logged nothing, and one that ended before logged only `stopped`: whether an answer was lost at the exit couldn't be told. Both now log `stopped` with the reason (`done`, `grace_over`), open connections, requests without an answer, answers not handed to the system, bytes that clients have not acknowledged, and requests at targets, summed over clients and relays.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -532,7 +532,7 @@
         relays_.refuse_unfinished();
     });
     mono_time const exit_at = now + fraction_of(settings_.grace, exit_fraction);
-    timers_.once(exit_at, [this] { loop_.stop(); });
+    timers_.once(exit_at, [this] { stop_process("grace_over"); });
 }
 
 /** Stops accepting, then exits as soon as no client connection is left. */
@@ -547,12 +547,24 @@
         clients_.close_idle();
         relays_.close_idle();
         if (clients_.connections() == 0 && relays_.connections() == 0) {
-            log_event("stopped");
-            loop_.stop();
+            stop_process("done");
         }
     });
 }
 
+/** Ends the process. @param reason and what is still owed then go into the log. */
+void entry_host::stop_process(std::string const& reason)
+{
+    server_debts const owed = clients_.debts() + relays_.debts();
+    log_event("stopped", {{"reason", reason},
+                          {"connections", std::to_string(owed.connections)},
+                          {"unanswered", std::to_string(owed.unanswered)},
+                          {"unsent_answers", std::to_string(owed.unsent)},
+                          {"unacknowledged_bytes", std::to_string(owed.unacknowledged_bytes)},
+                          {"open_requests", std::to_string(forwarder_.open_requests())}});
+    loop_.stop();
+}
+
 /**
  * Activates a configuration unless it is older than the active one.
  * @param packed its text in zlib format.
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -67,6 +67,7 @@
     void reload();
     void start_leaving();
     void finish_leaving();
+    void stop_process(std::string const& reason);
 
     bool on_config(config_document const& document, std::string packed, std::string const& source);
     void push_config();
--- a/src/http/call_pipeline.cpp
+++ b/src/http/call_pipeline.cpp
@@ -105,11 +105,12 @@
     return sum;
 }
 
-bool call_pipeline::unanswered() const
+std::size_t call_pipeline::unanswered_calls() const
 {
-    return std::any_of(entries_.begin(), entries_.end(), [](entry const& each) {
-        return each.at == state::waiting || each.at == state::running;
-    });
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(), [](entry const& each) {
+            return each.at == state::waiting || each.at == state::running;
+        }));
 }
 
 } // namespace cove
--- a/src/http/call_pipeline.h
+++ b/src/http/call_pipeline.h
@@ -76,7 +76,13 @@
     [[nodiscard]] std::size_t held() const;
 
     /** @return whether a request has no response yet. */
-    [[nodiscard]] bool unanswered() const;
+    [[nodiscard]] bool unanswered() const { return unanswered_calls() > 0; }
+
+    /** @return the number of requests that have no response yet. */
+    [[nodiscard]] std::size_t unanswered_calls() const;
+
+    /** @return the number of requests whose response is not sent. */
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
 private:
     enum class state { waiting, running, answered, sending };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -173,6 +173,21 @@
     acceptor_.close(ignored);
 }
 
+server_debts operator+(server_debts const& left, server_debts const& right)
+{
+    return {left.connections + right.connections, left.unanswered + right.unanswered,
+            left.unsent + right.unsent, left.unacknowledged_bytes + right.unacknowledged_bytes};
+}
+
+server_debts http_server::debts() const
+{
+    server_debts sum;
+    for (auto const& [key, connection] : connections_) {
+        sum = sum + connection->debts();
+    }
+    return sum;
+}
+
 void http_server::close_ended()
 {
     mono_time const now = read_clocks().mono;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -41,6 +41,16 @@
     std::function<bool(http_request const&)> concurrent = nullptr;
 };
 
+/** What a server owes to its clients. */
+struct server_debts {
+    std::size_t connections = 0; ///< open
+    std::size_t unanswered = 0;  ///< complete requests without a response
+    std::size_t unsent = 0;      ///< responses that are not completely handed to the system
+    std::size_t unacknowledged_bytes = 0; ///< handed to the system; the client may not have them
+};
+
+server_debts operator+(server_debts const& left, server_debts const& right);
+
 class server_connection;
 
 /** Receives requests on one address and sends the responses that its owner provides. */
@@ -89,6 +99,9 @@
     /** @return the number of open connections. */
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    /** @return what is owed on all open connections. */
+    [[nodiscard]] server_debts debts() const;
+
     /** @return the number of failures to accept a connection so far. */
     [[nodiscard]] std::uint64_t accept_errors() const { return accept_errors_; }
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace cove {
@@ -509,6 +511,16 @@
     return phase_ == phase::between && pipeline_.empty() ? std::optional(deadline_) : std::nullopt;
 }
 
+server_debts server_connection::debts()
+{
+    int unacknowledged = 0;
+    if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+        unacknowledged = 0; // the connection has ended
+    }
+    std::size_t const unanswered = pipeline_.unanswered_calls();
+    return {1, unanswered, pipeline_.size() - unanswered, static_cast<std::size_t>(unacknowledged)};
+}
+
 void server_connection::close()
 {
     if (closed_) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -37,6 +37,9 @@
     /** @return until when it may wait for a request; nullopt unless it does. */
     [[nodiscard]] std::optional<mono_time> idle_until() const;
 
+    /** @return what is owed on this connection. */
+    [[nodiscard]] server_debts debts();
+
     /** Closes the connection; reports the calls in progress to the client_disconnected hook. */
     void close();
 
