Answer pipelined requests that a stopping host has read

What callers saw: after SIGTERM, a request that came in one packet with the one before it was read from the socket, but its connection was closed after the answer to the first one, with `Connection: close` and no answer to the second. One that arrived behind a request in progress fared the same.

Cause: a stopping server read no request while it owed a response, although bytes of it were in its buffer, and marked a response as the last one by the requests that it had parsed.

Now a response is the last one only if nothing of a further request has arrived.

Evidence: stopping_server.answers_the_requests_that_it_has_read (4 cases) and pipelined_requests.that_arrive_early_in_a_stop_are_answered failed with the old conditions put back, and pass.

--- a/src/http/server.h
+++ b/src/http/server.h
@@ -84,12 +84,18 @@
     /** @return how many connections were refused or closed at the bound so far. */
     [[nodiscard]] std::uint64_t connections_over_bound() const { return over_bound_; }
 
-    /** Closes each connection after the last response that it owes, from now on. */
+    /**
+     * From now on, closes each connection after the last response that it owes, also to requests
+     * that have arrived behind the one that is answered.
+     */
     void close_after_responses() { closing_ = true; }
 
-    /** Stops accepting connections. */
+    /** Stops accepting connections, and requests behind one that has no response yet. */
     void stop_accepting();
 
+    /** @return whether connections are accepted. */
+    [[nodiscard]] bool accepting() const { return acceptor_.is_open(); }
+
     /** Closes all connections that wait for the first byte of a request. */
     void close_idle();
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -83,12 +83,27 @@
     return phase_ == phase::header || phase_ == phase::held || phase_ == phase::body;
 }
 
+/** @return whether there are bytes of further requests that are to be served before a stop. */
+bool server_connection::more_has_arrived()
+{
+    return request_arrives() || (phase_ == phase::between &&
+                                 (buffer_.size() > 0 || (server_.accepting() && has_unread())));
+}
+
+/** @return whether bytes have arrived that are not read. */
+bool server_connection::has_unread()
+{
+    int unread = 0;
+    return ::ioctl(socket_.native_handle(), SIOCINQ, &unread) == 0 && unread > 0;
+}
+
 /** Reads the next request, or waits for it, if another may be read now. */
 void server_connection::read_next()
 {
     enter_phase(phase::between, pipeline_.empty() ? server_.limits_.idle_timeout : no_timeout);
     bool const full = server_.memory_ && server_.memory_->nearly_full();
-    bool const waits = (server_.closing_ || full) && !pipeline_.empty();
+    bool const no_more = !server_.accepting() && buffer_.size() == 0;
+    bool const waits = (no_more || full) && !pipeline_.empty();
     if (pipeline_.empty() && buffer_.size() == 0) {
         buffer_.shrink_to_fit();
         release_memory();
@@ -383,7 +398,7 @@
     if (closed_ || gives_up_ || writing_) {
         return;
     }
-    if (auto due = pipeline_.take_response(server_.closing_)) {
+    if (auto due = pipeline_.take_response(server_.closing_ && !more_has_arrived())) {
         write(std::move(*due));
     }
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -51,6 +51,8 @@
     void enter_phase(phase next, milliseconds timeout);
     [[nodiscard]] bool input_open() const;
     [[nodiscard]] bool request_arrives() const;
+    [[nodiscard]] bool more_has_arrived();
+    [[nodiscard]] bool has_unread();
     void read_next();
     void watch();
     void on_readable(boost::system::error_code error);
--- a/tests/http/pipelined_requests_test.cpp
+++ b/tests/http/pipelined_requests_test.cpp
@@ -313,6 +313,62 @@
     EXPECT_EQ(order, "/a /b ");
 }
 
+struct stop_case {
+    char const* name;
+    char const* first;
+    char const* second;
+    bool accepts; ///< connections, when the first response is sent
+};
+
+class stopping_server : public pipelined_requests, public testing::WithParamInterface<stop_case> {};
+
+// Guards against a planned stop that drops requests which have been read with the one before them.
+TEST_P(stopping_server, answers_the_requests_that_it_has_read)
+{
+    std::string const first = GetParam().first;
+    std::string const second = GetParam().second;
+    server->close_after_responses();
+    client->send(get_of(first) + get_of(second));
+    ASSERT_TRUE(run_until(loop, [&] { return running.contains(first); }));
+    if (!GetParam().accepts) {
+        server->stop_accepting();
+        server->close_idle();
+    }
+    respond(first);
+    ASSERT_TRUE(run_until(loop, [&] { return running.contains(second); }));
+    server->close_idle();
+    EXPECT_EQ(client->received().find("Connection: close"), std::string::npos);
+    respond(second);
+    EXPECT_EQ(received({"answer to " + first, "Connection: close", "answer to " + second}),
+              "answer to " + first + ",Connection: close,answer to " + second + ",");
+    EXPECT_TRUE(ended());
+    EXPECT_EQ(cancelled, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases, stopping_server,
+                         testing::Values(stop_case{"concurrent", "/a", "/b", true},
+                                         stop_case{"concurrent_late", "/a", "/b", false},
+                                         stop_case{"one_by_one", "/serial/a", "/serial/b", true},
+                                         stop_case{"one_by_one_late", "/serial/a", "/serial/b",
+                                                   false}),
+                         [](auto const& info) { return info.param.name; });
+
+// Guards against a planned stop that drops what arrives behind a request in progress.
+TEST_F(pipelined_requests, that_arrive_early_in_a_stop_are_answered)
+{
+    client->send(get_of("/serial/a"));
+    ASSERT_TRUE(runs(1));
+    server->close_after_responses();
+    client->send(get_of("/serial/b"));
+    pause();
+    respond("/serial/a");
+    ASSERT_TRUE(runs(1));
+    respond("/serial/b");
+    EXPECT_EQ(received({"answer to /serial/a", "Connection: close", "answer to /serial/b"}),
+              "answer to /serial/a,Connection: close,answer to /serial/b,");
+    EXPECT_TRUE(ended());
+}
+
 class unfinished_request : public pipelined_requests,
                            public testing::WithParamInterface<std::string> {};
 
