Leave connections open in a stop on which a request has arrived

What callers saw: a stopping host closed a kept connection as idle while the bytes of a request waited in the system, unread, which resets it. The busier the host, the longer they wait.

Cause: close_if_idle() looked only at what the process had read. It now asks the socket as well; the request is read and answered with `Connection: close`.

--- a/src/http/server.h
+++ b/src/http/server.h
@@ -96,7 +96,7 @@
     /** @return whether connections are accepted. */
     [[nodiscard]] bool accepting() const { return acceptor_.is_open(); }
 
-    /** Closes all connections that wait for the first byte of a request. */
+    /** Closes all connections on which nothing of a next request has arrived, read or not. */
     void close_idle();
 
     /** Answers 503 to the clients whose requests have arrived in part. */
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -516,7 +516,7 @@
 
 void server_connection::close_if_idle()
 {
-    if (phase_ == phase::between && pipeline_.empty()) {
+    if (phase_ == phase::between && pipeline_.empty() && !has_unread()) {
         close();
     }
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -31,7 +31,7 @@
     /** Answers 503, in its turn, if a request has arrived in part; its rest is discarded. */
     void refuse_unfinished();
 
-    /** Closes the connection if it waits for the first byte of a request. */
+    /** Closes the connection if nothing of a next request has arrived, read or not. */
     void close_if_idle();
 
     /** @return until when it may wait for a request; nullopt unless it does. */
--- a/tests/http/pipelined_requests_test.cpp
+++ b/tests/http/pipelined_requests_test.cpp
@@ -369,6 +369,20 @@
     EXPECT_TRUE(ended());
 }
 
+// Guards against a planned stop that closes a connection as idle although a request has arrived.
+TEST_F(pipelined_requests, that_are_not_read_yet_when_idle_connections_close_are_answered)
+{
+    ASSERT_TRUE(run_until(loop, [&] { return server->connections() == 1; }));
+    server->close_after_responses();
+    client->send(get_of("/a"));
+    server->stop_accepting();
+    server->close_idle();
+    ASSERT_TRUE(runs(1));
+    respond("/a");
+    EXPECT_EQ(received({"Connection: close", "answer to /a"}), "Connection: close,answer to /a,");
+    EXPECT_TRUE(ended());
+}
+
 class unfinished_request : public pipelined_requests,
                            public testing::WithParamInterface<std::string> {};
 
