Serve connections that wait to be accepted when a host stops accepting

What callers saw: connections that the system had established, with requests sent on them, were reset when the stopping host closed its listener.

Cause: the listener was closed with its queue, and a connection that had been taken from it in the same turn of the loop was dropped too. Now the queue is emptied first, up to its length, and both kinds are served.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -90,24 +90,31 @@
 void http_server::accept()
 {
     acceptor_.async_accept(loop_, [this](error_code error, tcp::socket socket) {
-        if (!acceptor_.is_open()) {
+        if (!error) {
+            add(std::move(socket));
+        }
+        if (!accepting()) {
             return;
         }
         if (error) {
             on_accept_error(error);
             return;
         }
-        if (!make_room()) {
-            accept();
-            return; // closes the new connection
-        }
-        auto connection = std::make_shared<server_connection>(*this, std::move(socket));
-        connections_[connection.get()] = connection;
-        connection->start();
         accept();
     });
 }
 
+/** Serves a new connection, or closes it if there is no room. */
+void http_server::add(tcp::socket socket)
+{
+    if (!make_room()) {
+        return;
+    }
+    auto connection = std::make_shared<server_connection>(*this, std::move(socket));
+    connections_[connection.get()] = connection;
+    connection->start();
+}
+
 /** At the bound, closes the longest idle connection. @return whether one more may be open. */
 bool http_server::make_room()
 {
@@ -169,8 +176,16 @@
 
 void http_server::stop_accepting()
 {
-    error_code ignored; // nothing is accepted even if the close fails
-    acceptor_.close(ignored);
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    for (int i = 0; i < listen_backlog && (!error || concerns_one_connection(error)); ++i) {
+        tcp::socket socket(loop_);
+        acceptor_.accept(socket, error);
+        if (!error) {
+            add(std::move(socket));
+        }
+    }
+    acceptor_.close(error); // nothing is accepted even if this fails
 }
 
 server_debts operator+(server_debts const& left, server_debts const& right)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -90,7 +90,10 @@
      */
     void close_after_responses() { closing_ = true; }
 
-    /** Stops accepting connections, and requests behind one that has no response yet. */
+    /**
+     * Stops accepting connections, behind those that are established, and requests behind one that
+     * has no response yet.
+     */
     void stop_accepting();
 
     /** @return whether connections are accepted. */
@@ -121,6 +124,7 @@
     friend class server_connection;
 
     void accept();
+    void add(boost::asio::ip::tcp::socket socket);
     void on_accept_error(boost::system::error_code error);
     void close_ended();
     bool make_room();
--- a/tests/http/pipelined_requests_test.cpp
+++ b/tests/http/pipelined_requests_test.cpp
@@ -383,6 +383,29 @@
     EXPECT_TRUE(ended());
 }
 
+// Guards against a planned stop that resets connections which the system has established.
+TEST_F(pipelined_requests, on_connections_that_wait_to_be_accepted_are_answered_in_a_stop)
+{
+    constexpr std::size_t count = 3;
+    ASSERT_TRUE(run_until(loop, [&] { return server->connections() == 1; }));
+    std::vector<std::unique_ptr<raw_client>> waiting;
+    for (std::size_t i = 0; i < count; ++i) {
+        waiting.push_back(std::make_unique<raw_client>(loop, address));
+        waiting.back()->send(get_of("/" + std::to_string(i)));
+    }
+    server->close_after_responses();
+    server->stop_accepting();
+    server->close_idle();
+    ASSERT_TRUE(runs(count));
+    for (std::size_t i = 0; i < count; ++i) {
+        client = std::move(waiting[i]);
+        std::string const path = "/" + std::to_string(i);
+        respond(path);
+        EXPECT_EQ(received({"Connection: close", "answer to " + path}),
+                  "Connection: close,answer to " + path + ",");
+    }
+}
+
 class unfinished_request : public pipelined_requests,
                            public testing::WithParamInterface<std::string> {};
 
