--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -533,10 +533,7 @@
         relays_.refuse_unfinished();
     });
     mono_time const exit_at = now + fraction_of(settings_.grace, exit_fraction);
-    timers_.once(exit_at, [this] {
-        log_open_sends("grace_over");
-        loop_.stop();
-    });
+    timers_.once(exit_at, [this] { stop_process("grace_over"); });
 }
 
 void entry_host::log_open_sends(std::string const& event)
@@ -557,12 +554,25 @@
         clients_.close_idle();
         relays_.close_idle();
         if (clients_.connections() == 0 && relays_.connections() == 0) {
-            log_open_sends("stopped");
-            loop_.stop();
+            stop_process("done");
         }
     });
 }
 
+/** Ends the process. @param reason and what is still owed then go into the log. */
+void entry_host::stop_process(std::string const& reason)
+{
+    server_debts const owed = clients_.debts() + relays_.debts();
+    log_event("stopped", {{"reason", reason},
+                          {"connections", std::to_string(owed.connections)},
+                          {"unanswered", std::to_string(owed.unanswered)},
+                          {"unsent_answers", std::to_string(owed.unsent)},
+                          {"unacknowledged_bytes", std::to_string(owed.unacknowledged_bytes)},
+                          {"open_requests", std::to_string(forwarder_.open_requests())},
+                          {"open_sends", std::to_string(forwarder_.open_sends())}});
+    loop_.stop();
+}
+
 /**
  * Activates a configuration unless it is older than the active one.
  * @param packed its text in zlib format.
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -68,6 +68,7 @@
     void start_leaving();
     void log_open_sends(std::string const& event);
     void finish_leaving();
+    void stop_process(std::string const& reason);
 
     bool on_config(config_document const& document, std::string packed, std::string const& source);
     void push_config();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -41,6 +41,16 @@
     std::function<bool(http_request const&)> concurrent = nullptr;
 };
 
+/** What a server owes to its clients. */
+struct server_debts {
+    std::size_t connections = 0; ///< open
+    std::size_t unanswered = 0;  ///< complete requests without a response
+    std::size_t unsent = 0;      ///< responses that are not completely handed to the system
+    std::size_t unacknowledged_bytes = 0; ///< handed to the system; the client may not have them
+};
+
+server_debts operator+(server_debts const& left, server_debts const& right);
+
 class server_connection;
 
 /** Receives requests on one address and sends the responses that its owner provides. */
@@ -74,13 +84,22 @@
     /** @return how many connections were refused or closed at the bound so far. */
     [[nodiscard]] std::uint64_t connections_over_bound() const { return over_bound_; }
 
-    /** Closes each connection after the last response that it owes, from now on. */
+    /**
+     * From now on, closes each connection after the last response that it owes, also to requests
+     * that have arrived behind the one that is answered.
+     */
     void close_after_responses() { closing_ = true; }
 
-    /** Stops accepting connections. */
+    /**
+     * Stops accepting connections, behind those that are established, and requests behind one that
+     * has no response yet.
+     */
     void stop_accepting();
 
-    /** Closes all connections that wait for the first byte of a request. */
+    /** @return whether connections are accepted. */
+    [[nodiscard]] bool accepting() const { return acceptor_.is_open(); }
+
+    /** Closes all connections on which nothing of a next request has arrived, read or not. */
     void close_idle();
 
     /** Answers 503 to the clients whose requests have arrived in part. */
@@ -89,6 +108,9 @@
     /** @return the number of open connections. */
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    /** @return what is owed on all open connections. */
+    [[nodiscard]] server_debts debts() const;
+
     /** @return the number of failures to accept a connection so far. */
     [[nodiscard]] std::uint64_t accept_errors() const { return accept_errors_; }
 
@@ -102,6 +124,7 @@
     friend class server_connection;
 
     void accept();
+    void add(boost::asio::ip::tcp::socket socket);
     void on_accept_error(boost::system::error_code error);
     void close_ended();
     bool make_room();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -31,12 +31,15 @@
     /** Answers 503, in its turn, if a request has arrived in part; its rest is discarded. */
     void refuse_unfinished();
 
-    /** Closes the connection if it waits for the first byte of a request. */
+    /** Closes the connection if nothing of a next request has arrived, read or not. */
     void close_if_idle();
 
     /** @return until when it may wait for a request; nullopt unless it does. */
     [[nodiscard]] std::optional<mono_time> idle_until() const;
 
+    /** @return what is owed on this connection. */
+    [[nodiscard]] server_debts debts();
+
     /** Closes the connection; reports the calls in progress to the client_disconnected hook. */
     void close();
 
@@ -48,6 +51,8 @@
     void enter_phase(phase next, milliseconds timeout);
     [[nodiscard]] bool input_open() const;
     [[nodiscard]] bool request_arrives() const;
+    [[nodiscard]] bool more_has_arrived();
+    [[nodiscard]] bool has_unread();
     void read_next();
     void watch();
     void on_readable(boost::system::error_code error);
