Leave requests that a stopping host relays at their targets

Cause: a host that stops withdraws no request as overdue, but the host that carries its relayed requests did not know of the stop. It withdrew an overdue one from its target and sent it to another; refused there, it answered 502, which the stopping host passed on to the client. Relays are in use where hosts are cut off from targets and where routes or workspaces have homes in another region.

Change: a relayed request names its host in Cove-Host. A host keeps which hosts of all zones have announced their shutdown, until it hears of a later incarnation or a minute has passed, tells the reducer at once when that changes, and leaves the requests of these hosts where they are. Requests of hosts that go on are withdrawn when overdue, as before.

Why it works: a stopping host announces that first of all, to its zone and to the serving hosts of the other zones, so the carrying host knows it a message later. What it withdrew before that message is not mended by this, nor is an announcement that is lost on its way to another zone.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -156,6 +156,7 @@
     std::vector<directory_host> directory_hosts_;
     std::vector<node_id> zone_serving_; ///< serving hosts of this zone
     quota_division quota_division_;
+    std::set<node_id> stopping_hosts_; ///< as last reported to the forwarder
     lag_detector lag_;
     /// This host is one of those that watch the store; the others get changes from them.
     bool follows_store_ = false;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -153,6 +153,8 @@
             }
         }
     }
+    stopping_hosts_ = view_.stopping_hosts(now);
+    peers.stopping_hosts = stopping_hosts_;
     forwarder_.set_peers(peers);
 }
 
@@ -219,8 +221,12 @@
 
 void entry_host::on(gossip const& message)
 {
-    quotas_.hear(message, read_clocks().mono);
-    send(view_.receive(message, read_clocks().mono));
+    mono_time const now = read_clocks().mono;
+    quotas_.hear(message, now);
+    send(view_.receive(message, now));
+    if (view_.stopping_hosts(now) != stopping_hosts_) {
+        report_peers(now); // at once, as it bears on the requests that they relay
+    }
     if (!message.answer_wanted) {
         return;
     }
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -25,6 +25,8 @@
 constexpr char const* client_field = "Cove-Client";
 /// Field of a relayed request with the number of targets that it may still be sent to.
 constexpr char const* attempts_field = "Cove-Attempts";
+/// Field of a relayed request with the name of the host that relays it.
+constexpr char const* host_field = "Cove-Host";
 constexpr std::uint64_t relayed_id_bit = std::uint64_t{1} << 63U; ///< calls of two servers differ
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
@@ -159,7 +161,7 @@
                                      header_names names, traffic_settings settings,
                                      exchange_limits const& limits, log_limiter& log,
                                      loop_monitor& monitor)
-    : timers_(timers), names_(std::move(names)), log_(log), monitor_(monitor),
+    : timers_(timers), names_(std::move(names)), host_(settings.host), log_(log), monitor_(monitor),
       traffic_(std::move(settings)), pool_(loop, timers, limits), relay_pool_(loop, timers, limits),
       admission_({names_.workspace, names_.key_scheme}, log)
 {
@@ -262,6 +264,8 @@
     open.client = to_std_string(request[client_field]);
     request.erase(client_field);
     open.attempts_left = take_attempts_left(request);
+    open.relayed_by = node_id(to_std_string(request[host_field]));
+    request.erase(host_field);
     open.message = std::move(request);
     accept(request_id(call.value | relayed_id_bit), std::move(open), true);
 }
@@ -332,6 +336,7 @@
                           relayed,
                           admitted.terms};
     event.terms.attempts_left = open.attempts_left;
+    event.terms.relayed_by = open.relayed_by;
     if (quotas_ != nullptr && !relayed) {
         open.quota = quotas_->take(event.terms.workspace, event.deadline, open.arrived);
         if (!open.quota.admitted) {
@@ -567,6 +572,7 @@
     http_request message = header_of(open, effect.time_left, names_.deadline);
     admission_.prepare_for_relay(message, open.credentials);
     message.set(client_field, open.client);
+    message.set(host_field, host_.value);
     message.set(attempts_field, std::to_string(effect.attempts_left));
     target_id const peer(effect.address);
     connection const used =
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -130,6 +130,7 @@
         call_id call;                      ///< of that server
         std::string client;                ///< IP
         std::optional<int> attempts_left;  ///< if another host relays it
+        node_id relayed_by;                ///< that host, if it names itself
         std::string attempt_id;
         request_fingerprint fingerprint;
         std::shared_ptr<route_config const> route;
@@ -191,6 +192,7 @@
     workspace_quotas* quotas_ = nullptr;
     loop_timers& timers_;
     header_names names_;
+    node_id host_; ///< this one
     log_limiter& log_;
     loop_monitor& monitor_;
     traffic traffic_;
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -31,6 +31,8 @@
 constexpr std::uint64_t roster_change_rounds = 3;
 /// Rounds between two refreshes of the roster, for hosts that missed every message of a change.
 constexpr std::uint64_t roster_refresh_rounds = 8;
+/// A host that has announced its shutdown has ended, or has been heard again, within this time.
+constexpr milliseconds stop_retention{60'000};
 /// A speaker that misses two rounds (1 s each) may be replaced by one with a higher name.
 constexpr milliseconds speaker_takeover_timeout{2250};
 
@@ -298,6 +300,8 @@
     host_effects out;
     refresh_self(own);
     count_reporting_peers(now);
+    std::erase_if(stops_,
+                  [now](auto const& item) { return now - item.second.heard >= stop_retention; });
     ask_late_hosts(out, now); // first, so that the other messages use the new connections
     gossip_within_zone(out, now);
     greet_new_contacts(out, now);
@@ -329,11 +333,39 @@
     return out;
 }
 
+/** Notes that a host shuts down, or that it has started again since it did. */
+void host_view::note_stop(node_id const& host, host_incarnation incarnation, bool leaving,
+                          mono_time now)
+{
+    auto const known = stops_.find(host);
+    if (known != stops_.end() && incarnation < known->second.incarnation) {
+        return;
+    }
+    if (leaving) {
+        stops_[host] = {incarnation, now};
+    }
+    else if (known != stops_.end() && incarnation > known->second.incarnation) {
+        stops_.erase(known);
+    }
+}
+
+std::set<node_id> host_view::stopping_hosts(mono_time now) const
+{
+    std::set<node_id> out;
+    for (auto const& [name, stop] : stops_) {
+        if (now - stop.heard < stop_retention) {
+            out.insert(name);
+        }
+    }
+    return out;
+}
+
 void host_view::merge_report(host_report const& report, mono_time now)
 {
     if (report.name == self_.name) {
         return;
     }
+    note_stop(report.name, report.incarnation, report.leaving, now);
     if (report.zone != self_.zone) {
         remote_host& known = remote_hosts_[report.name];
         known.zone = report.zone;
@@ -380,6 +412,9 @@
     if (!inserted && !newer) {
         return;
     }
+    for (roster_host const& host : status.roster.value_or(std::vector<roster_host>())) {
+        note_stop(host.name, host.incarnation, false, now);
+    }
     serving_changed_ =
         serving_changed_ || inserted || (status.roster && status.roster != known.status.roster);
     if (!inserted) {
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -52,6 +52,12 @@
     host_incarnation left_incarnation; ///< the one that announced its shutdown
 };
 
+/** The announced shutdown of another host. */
+struct host_stop {
+    host_incarnation incarnation; ///< that shuts down
+    mono_time heard{};            ///< when it was last announced
+};
+
 /** A host from which newer versions of the store's data can be pulled. */
 struct pull_source {
     std::string ip;
@@ -125,6 +131,9 @@
     /** @return a number that changes whenever serving() returns another list. */
     std::uint64_t serving_version(mono_time now);
 
+    /** @return the hosts of all zones whose announced shutdown may still be under way. */
+    [[nodiscard]] std::set<node_id> stopping_hosts(mono_time now) const;
+
     /** @return reports of the live hosts of this zone, this one first; valid until the next call
      * of a member that changes the view. */
     [[nodiscard]] std::vector<host_report const*> zone_hosts(mono_time now) const;
@@ -197,6 +206,7 @@
     outgoing_host_message answer_to(gossip const& asking, std::vector<std::string> unheard,
                                     mono_time now);
     std::vector<std::string> replace_connections(std::vector<std::string> ips, mono_time now);
+    void note_stop(node_id const& host, host_incarnation incarnation, bool leaving, mono_time now);
     void merge_report(host_report const& report, mono_time now);
     void merge_zone_status(zone_status const& status, bool relay, mono_time now);
 
@@ -208,7 +218,8 @@
     std::vector<node_id> contacts_to_greet_;      ///< zone peers that no message was sent to yet
     std::map<zone_id, remote_zone> remote_zones_; ///< without this zone
     std::map<node_id, remote_host> remote_hosts_;
-    std::set<std::string> seeds_; ///< IPs from which no message or report was received yet
+    std::map<node_id, host_stop> stops_; ///< announced lately
+    std::set<std::string> seeds_;        ///< IPs from which no message or report was received yet
     std::map<std::string, mono_time> replaced_at_;     ///< connections replaced lately, by IP
     std::map<zone_id, zone_status> statuses_to_relay_; ///< received since the last tick
     std::vector<roster_host> last_sent_roster_;        ///< of this zone
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -63,6 +63,7 @@
     request.client = event.client;
     request.fingerprint = event.fingerprint;
     request.relayed = event.relayed;
+    request.relayed_by = event.terms.relayed_by;
     request.workspace = event.terms.workspace;
     request.home_regions = event.terms.home_regions;
     request.home_elsewhere = !zone_allowed(request, settings_.zone);
@@ -480,6 +481,7 @@
     }
     balance_objects();
     relays_ = event.relays;
+    stopping_hosts_ = event.stopping_hosts;
     used_by_peers_.clear();
     for (auto const& [hash, count] : event.in_flight_by_target) {
         set_running(hash, count);
@@ -562,7 +564,7 @@
  */
 void traffic::retry_on_other_target(pending_request& request)
 {
-    if (answers_due_ || request.attempts >= request.max_attempts ||
+    if (answers_due_ || relaying_host_stops(request) || request.attempts >= request.max_attempts ||
         crashes_.blocked(request.fingerprint, now_)) {
         return;
     }
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -61,6 +61,7 @@
     bool may_have_run = false;
     bool client_disconnected = false; ///< the run at the target continues without a client
     bool relayed = false;             ///< by another host; must not be relayed again
+    node_id relayed_by;               ///< that host, if it is known
     bool relaying = false;            ///< another host carries it
     std::set<std::string> relays;     ///< addresses of the hosts that were asked to carry it
     std::set<target_id> tried;
@@ -186,6 +187,7 @@
     [[nodiscard]] bool wants_relay(pending_request const& request) const;
     bool relay(pending_request& request);
     [[nodiscard]] relay_host const* choose_relay(pending_request const& request) const;
+    [[nodiscard]] bool relaying_host_stops(pending_request const& request) const;
     void start_probes();
     void move_running_to_relays();
     void keep_suspects_apart(pending_request const& request,
@@ -246,7 +248,8 @@
     crash_table crashes_;
     reach_monitor reach_;
     std::vector<relay_host> relays_;
-    std::size_t next_probed_ = 0; ///< position in targets_ at which the next round starts
+    std::set<node_id> stopping_hosts_; ///< see peers_reported
+    std::size_t next_probed_ = 0;      ///< position in targets_ at which the next round starts
     std::map<std::pair<zone_id, service_id>, int> remote_quotas_;
     std::map<zone_id, moving_mean> rtt_ms_; ///< round-trip time, from connection times
     std::map<service_id, warm_window> warm_windows_;
--- a/src/traffic/traffic_event.h
+++ b/src/traffic/traffic_event.h
@@ -21,6 +21,7 @@
     std::optional<int> priority;         ///< replaces that of the route
     std::vector<region_id> home_regions; ///< bind beside those of the route; empty means any
     std::optional<int> attempts_left;    ///< of the route's max_attempts, if other hosts used some
+    node_id relayed_by; ///< host that relays it; empty: none, or one that does not name itself
 };
 
 /** A client sent a request that matched a route. */
@@ -143,6 +144,8 @@
     std::vector<service_objects> objects;
     /// Hosts that serve and reach the targets; filled while this host needs them.
     std::vector<relay_host> relays;
+    /// Hosts of all zones that have announced their shutdown.
+    std::set<node_id> stopping_hosts;
 };
 
 /** Requests under which targets have ended, as reported by another host. */
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -72,6 +72,12 @@
            std::any_of(config.workspaces.begin(), config.workspaces.end(), elsewhere);
 }
 
+/** @return whether the host that relays the request, if another one does, is shutting down. */
+bool traffic::relaying_host_stops(pending_request const& request) const
+{
+    return request.relayed && stopping_hosts_.contains(request.relayed_by);
+}
+
 bool traffic::wants_relay(pending_request const& request) const
 {
     constexpr double range = 18446744073709551616.0; // 2^64
--- a/tests/peer/peer_view_test.cpp
+++ b/tests/peer/peer_view_test.cpp
@@ -31,6 +31,38 @@
     EXPECT_FALSE(all.serving_seen_by("a2").contains("b1"));
 }
 
+TEST(host_view, knows_the_hosts_that_stop_until_they_have_started_again)
+{
+    fleet all = three_zones();
+    all.advance(milliseconds{6000});
+    local_host_state stopping = ready();
+    stopping.leaving = true;
+    all.deliver("ip-b1", all.hosts.at("ip-b1").announce_leaving(stopping, all.now));
+    std::set<node_id> const stops{node_id("b1")};
+    for (char const* const ip : {"ip-a2", "ip-b2", "ip-c1"}) {
+        EXPECT_EQ(all.hosts.at(ip).stopping_hosts(all.now), stops) << ip;
+    }
+    all.dead.insert("ip-b1");
+    all.advance(milliseconds{3000});
+    EXPECT_EQ(all.hosts.at("ip-a2").stopping_hosts(all.now), stops);
+    all.dead.clear();
+    all.add("b1", "b", 2);
+    all.advance(milliseconds{6000});
+    for (char const* const ip : {"ip-a2", "ip-b2", "ip-c1"}) {
+        EXPECT_TRUE(all.hosts.at(ip).stopping_hosts(all.now).empty()) << ip;
+    }
+}
+
+TEST(host_view, takes_a_stop_that_is_long_past_for_ended)
+{
+    host_view view(report("a1", "a"), 1);
+    host_report leaving = report("b1", "b");
+    leaving.leaving = true;
+    view.receive(gossip_from("b1", {leaving}), start);
+    EXPECT_TRUE(view.stopping_hosts(start + seconds{30}).contains(node_id("b1")));
+    EXPECT_FALSE(view.stopping_hosts(start + seconds{60}).contains(node_id("b1")));
+}
+
 // CONFIG: a zone that the store turned away waited for the next round to hear of a change.
 TEST(host_view, tells_other_zones_of_a_new_configuration_before_the_next_round)
 {
--- a/tests/traffic/relay_stop_test.cpp
+++ b/tests/traffic/relay_stop_test.cpp
@@ -130,9 +130,43 @@
         request_arrived event{
             id, std::make_shared<route_config const>(route), desk, object_key("o"), "c", deadline};
         event.relayed = true;
+        event.terms.relayed_by = relaying;
         feed(event);
         return id;
     }
+
+    /** Reports the other hosts. */
+    void report(std::set<node_id> stopping)
+    {
+        peers_reported peers;
+        peers.hosts_in_zone = {node_id("h0"), relaying};
+        peers.hosts_in_total = 2;
+        peers.stopping_hosts = std::move(stopping);
+        feed(peers);
+    }
+
+    /** Begins a relayed request after one that took a short time. */
+    send_attempt begin_after_a_short_one()
+    {
+        request_id const earlier = arrive("o");
+        auto const sent = single<send_attempt>();
+        EXPECT_TRUE(sent);
+        now += milliseconds{100};
+        end(earlier, sent->attempt.target, attempt_end::succeeded);
+        arrive_relayed();
+        EXPECT_TRUE(single<send_attempt>());
+        return single<send_attempt>().value_or(send_attempt{});
+    }
+
+    /** @return how often requests are withdrawn within a time after which they are overdue. */
+    std::size_t withdrawn()
+    {
+        advance_effects.clear();
+        advance(milliseconds{2000});
+        return of_kind<cancel_attempt>(advance_effects).size();
+    }
+
+    node_id const relaying{"h1"};
 };
 
 TEST_F(carrying_host_stop, refuses_as_not_run_what_may_not_end)
@@ -157,5 +191,39 @@
     EXPECT_TRUE(single<deliver_answer>());
 }
 
+// LOST: the host that carried a request withdrew it as overdue while the one that relayed it
+// stopped. The next target refused it, so the client got 502.
+TEST_F(carrying_host_stop, leaves_requests_of_a_stopping_host_at_the_target_at_work_on_them)
+{
+    send_attempt const sent = begin_after_a_short_one();
+    report({relaying});
+    EXPECT_EQ(withdrawn(), 0U);
+    feed(ended(sent, attempt_end::succeeded));
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
+TEST_F(carrying_host_stop, withdraws_overdue_requests_of_hosts_that_go_on)
+{
+    begin_after_a_short_one();
+    report({node_id("h2")});
+    EXPECT_EQ(withdrawn(), 1U);
+}
+
+TEST_F(carrying_host_stop, withdraws_its_own_overdue_requests_while_others_stop)
+{
+    begin_after_a_short_one();
+    arrive("o");
+    report({relaying});
+    EXPECT_EQ(withdrawn(), 1U);
+}
+
+TEST_F(carrying_host_stop, withdraws_overdue_requests_of_a_host_that_has_started_again)
+{
+    report({relaying});
+    begin_after_a_short_one();
+    report({});
+    EXPECT_EQ(withdrawn(), 1U);
+}
+
 } // namespace
 } // namespace cove
