--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -134,6 +134,7 @@
         call_id call;                      ///< of that server
         std::string client;                ///< IP
         std::optional<int> attempts_left;  ///< if another host relays it
+        node_id relayed_by;                ///< that host, if it names itself
         std::string attempt_id;
         request_fingerprint fingerprint;
         std::shared_ptr<route_config const> route;
@@ -197,6 +198,7 @@
     workspace_quotas* quotas_ = nullptr;
     loop_timers& timers_;
     header_names names_;
+    node_id host_; ///< this one
     log_limiter& log_;
     withdrawal_log withdrawals_;
     loop_monitor& monitor_;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -63,6 +63,7 @@
     request.client = event.client;
     request.fingerprint = event.fingerprint;
     request.relayed = event.relayed;
+    request.relayed_by = event.terms.relayed_by;
     request.workspace = event.terms.workspace;
     request.home_regions = event.terms.home_regions;
     request.home_elsewhere = !zone_allowed(request, settings_.zone);
@@ -480,6 +481,7 @@
     }
     balance_objects();
     relays_ = event.relays;
+    stopping_hosts_ = event.stopping_hosts;
     used_by_peers_.clear();
     for (auto const& [hash, count] : event.in_flight_by_target) {
         set_running(hash, count);
@@ -581,13 +583,14 @@
 }
 
 /**
- * @return whether a running request may be withdrawn to send it again. A host that stops leaves
- * requests where they run: if no other target takes one, nothing is left to answer it with.
+ * @return whether a running request may be withdrawn to send it again. It stays where it runs while
+ * this host, or the one that relays it, stops: if no other target takes it, nothing is left to
+ * answer it with.
  */
 bool traffic::may_be_sent_again(pending_request const& request) const
 {
-    return !answers_due_ && request.route->idempotent && request.attempts < request.max_attempts &&
-           !crashes_.blocked(request.fingerprint, now_);
+    return !answers_due_ && !relaying_host_stops(request) && request.route->idempotent &&
+           request.attempts < request.max_attempts && !crashes_.blocked(request.fingerprint, now_);
 }
 
 /**
