--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -235,7 +235,10 @@
         request_id const id = failed_.back();
         failed_.pop_back();
         if (auto const found = open_.find(id); found != open_.end() && found->second.exchange) {
-            withdraw(found->second, {found->second.exchange->id, withdrawal::host_failed});
+            cancel_attempt failed;
+            failed.id = found->second.exchange->id;
+            failed.reason = withdrawal::host_failed;
+            withdraw(found->second, failed);
         }
         perform(client_disconnected{id, true}); // frees its slot, wherever it is
         if (auto const found = open_.find(id); found != open_.end()) {
