Count the body of a request until it is freed

Seen: orders that must not run twice go on at their targets after their clients have left. Their bodies stayed in memory, but they were counted in the account of the client's connection, which ends with it.

Now the shared body has the account: count_body() joins the budget, and the account leaves with the last owner, be it the request, a retry, a relay or the connection that still sends it. The connection of the client counts a request until it starts, then its header alone.

A body that cannot be given back is held as `committed`, which the budget never asks for. What arrives while such bodies fill the budget is refused as incomplete. So that others keep room, an order whose body would take the committed ones over three quarters of the budget gets 503 with Retry-After before it is sent; a single one, and one of up to 64 KiB, always passes.

--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "host/request_forwarder.h"
 
 #include "core/hash_func.h"
+#include "http/counted_body.h"
 #include "http/forwarding.h"
 #include "traffic/load_field.h"
 
@@ -19,6 +20,8 @@
 constexpr milliseconds tick_interval{20}; ///< resolution of queue waits and timeouts
 constexpr milliseconds no_config_retry_after{
     500}; ///< a new host usually has a configuration by then
+/// Requests that take most of the memory have usually ended by then.
+constexpr milliseconds no_memory_retry_after{1000};
 /// A few round trips between regions.
 constexpr milliseconds connect_timeout{300};
 /// Field of a relayed request with the IP of the client; read on the port for other hosts only.
@@ -159,9 +162,9 @@
                                      header_names names, traffic_settings settings,
                                      exchange_limits const& limits, log_limiter& log,
                                      loop_monitor& monitor)
-    : timers_(timers), names_(std::move(names)), log_(log), monitor_(monitor),
-      traffic_(std::move(settings)), pool_(loop, timers, limits), relay_pool_(loop, timers, limits),
-      admission_({names_.workspace, names_.key_scheme}, log)
+    : timers_(timers), memory_(limits.memory), names_(std::move(names)), log_(log),
+      monitor_(monitor), traffic_(std::move(settings)), pool_(loop, timers, limits),
+      relay_pool_(loop, timers, limits), admission_({names_.workspace, names_.key_scheme}, log)
 {
     tick_ = timers_.every(tick_interval, [this] {
         if (traffic_.needs_ticks()) {
@@ -332,6 +335,11 @@
                           relayed,
                           admitted.terms};
     event.terms.attempts_left = open.attempts_left;
+    if (memory_ && !route->idempotent && !memory_->may_commit(request.body().size())) {
+        record_outcome(open, "no_memory");
+        respond(*open.server, open.call, http::status::service_unavailable, no_memory_retry_after);
+        return;
+    }
     if (quotas_ != nullptr && !relayed) {
         open.quota = quotas_->take(event.terms.workspace, event.deadline, open.arrived);
         if (!open.quota.admitted) {
@@ -344,12 +352,27 @@
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
-    open.body = std::make_shared<std::string>(std::move(request.body()));
+    open.body = keep_body(open, std::move(request.body()));
     request.body().clear();
     open_.emplace(event.id, std::move(open));
     feed(event);
 }
 
+/**
+ * @return the body of a request, counted while it exists. One that may run twice ends when its
+ * memory is needed, as if its client had left; any other goes on.
+ */
+std::shared_ptr<std::string> request_forwarder::keep_body(open_request const& open,
+                                                          std::string body)
+{
+    // Not at once, as another request may be at work.
+    auto const give_back = [this, server = open.server, call = open.call] {
+        timers_.once(read_clocks().mono, [server, call] { server->abandon(call); });
+    };
+    return count_body(std::move(body), memory_,
+                      open.route->idempotent ? holding::request : holding::committed, give_back);
+}
+
 void request_forwarder::on_client_disconnected(call_id call)
 {
     on_disconnected(request_id(call.value));
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -125,7 +125,7 @@
 
     struct open_request {
         http_request message;              ///< without its body
-        std::shared_ptr<std::string> body; ///< shared with the connection that sends it
+        std::shared_ptr<std::string> body; ///< counted; shared with the connection that sends it
         http_server* server = nullptr;     ///< through which it came
         call_id call;                      ///< of that server
         std::string client;                ///< IP
@@ -164,6 +164,7 @@
     void execute(links_changed const& effect);
     std::optional<int> take_attempts_left(http_request& request);
     void accept(request_id id, open_request open, bool relayed);
+    std::shared_ptr<std::string> keep_body(open_request const& open, std::string body);
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
     void give_back(open_request const& open);
@@ -190,6 +191,7 @@
 
     workspace_quotas* quotas_ = nullptr;
     loop_timers& timers_;
+    std::shared_ptr<memory_budget> memory_; ///< counts the bodies of requests
     header_names names_;
     log_limiter& log_;
     loop_monitor& monitor_;
--- a/src/http/call_pipeline.cpp
+++ b/src/http/call_pipeline.cpp
@@ -46,6 +46,7 @@
     next->at = state::running;
     pipelined_call started{next->id, std::move(*next->request), next->concurrent, next->bytes};
     next->request.reset();
+    next->bytes -= std::min(next->bytes, started.request.body().size());
     return started;
 }
 
--- a/src/http/call_pipeline.h
+++ b/src/http/call_pipeline.h
@@ -16,7 +16,7 @@
     call_id id;
     http_request request;
     bool concurrent = false; ///< may run beside others of its connection
-    std::size_t bytes = 0;   ///< that it takes in memory until it is answered
+    std::size_t bytes = 0;   ///< that it takes in memory until it starts
 };
 
 /** A response whose turn has come. */
@@ -51,7 +51,10 @@
     /** Reads no further request: the connection closes after the last response. */
     void end() { ended_ = true; }
 
-    /** @return the next request that may run now, once; nullopt if none may. */
+    /**
+     * @return the next request that may run now, once; nullopt if none may. Its body belongs to the
+     * caller from then on and is not counted here any more.
+     */
     std::optional<pipelined_call> start_next();
 
     /** Stores the response to a running call, until its turn; ignores other calls. */
@@ -72,7 +75,10 @@
     /** @return whether nothing is owed to the client. */
     [[nodiscard]] bool empty() const { return entries_.empty(); }
 
-    /** @return bytes of the requests without response and of the responses that are not sent. */
+    /**
+     * @return bytes of the requests that wait, of the headers of those that run and of the
+     * responses that are not sent.
+     */
     [[nodiscard]] std::size_t held() const;
 
     /** @return whether a request has no response yet. */
@@ -86,8 +92,8 @@
         state at = state::waiting;
         bool concurrent = false;
         bool to_head = false;
-        std::size_t bytes = 0;               ///< of the request, then of the response
-        bool closes = false;                 ///< the client closes after the response
+        std::size_t bytes = 0; ///< of the request, of its header, then of the response
+        bool closes = false;   ///< the client closes after the response
         std::optional<http_request> request; ///< while waiting
         std::optional<http_response> response;
     };
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -25,11 +25,8 @@
     if (found == accounts_.end()) {
         return;
     }
-    held_ += bytes - found->second.bytes;
-    found->second.bytes = bytes;
-    found->second.what = what;
-    while (held_ > limit_) {
-        reclaim_from_largest();
+    set(found->second, bytes, what);
+    while (held_ > limit_ && reclaim_from_largest()) {
     }
 }
 
@@ -37,24 +34,44 @@
 {
     auto const found = accounts_.find(who);
     if (found != accounts_.end()) {
-        held_ -= found->second.bytes;
+        set(found->second, 0, found->second.what);
         accounts_.erase(found);
     }
 }
 
-void memory_budget::reclaim_from_largest()
+bool memory_budget::may_commit(std::uint64_t bytes) const
+{
+    return bytes <= spared_bytes || committed_ == 0 || committed_ + bytes <= limit_ - limit_ / 4;
+}
+
+void memory_budget::set(account& of, std::uint64_t bytes, holding what)
+{
+    held_ += bytes - of.bytes;
+    committed_ -= of.what == holding::committed ? of.bytes : 0;
+    committed_ += what == holding::committed ? bytes : 0;
+    of.bytes = bytes;
+    of.what = what;
+}
+
+/** @return whether there was a holder that could give its bytes back. */
+bool memory_budget::reclaim_from_largest()
 {
     auto const rank = [](account const& one) {
-        return std::tuple(one.bytes > spared_bytes, -static_cast<int>(one.what), one.bytes);
+        return std::tuple(one.what != holding::committed, one.bytes > spared_bytes,
+                          -static_cast<int>(one.what), one.bytes);
     };
     auto const largest =
         std::max_element(accounts_.begin(), accounts_.end(), [&rank](auto const& a, auto const& b) {
             return rank(a.second) < rank(b.second);
         });
+    if (largest == accounts_.end() || largest->second.what == holding::committed) {
+        return false;
+    }
     auto const give_back = std::move(largest->second.give_back);
     leave(largest->first);
     ++reclaims_;
     give_back();
+    return true;
 }
 
 } // namespace cove
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -12,6 +12,7 @@
     incomplete_request,
     request, ///< queued or running
     response,
+    committed, ///< a request that runs on whatever happens; does not have to release its bytes
 };
 
 /**
@@ -29,7 +30,7 @@
     /**
      * Adds a holder of no bytes.
      * @param give_back called once if the holder has to give its bytes back; it is then no holder
-     * any more.
+     * any more. Not called while it is holding::committed.
      */
     holder join(std::function<void()> give_back);
 
@@ -45,6 +46,12 @@
     /** @return bytes of all holders. */
     [[nodiscard]] std::uint64_t held() const { return held_; }
 
+    /**
+     * @return whether a request of @p bytes may be committed: the committed ones leave a quarter of
+     * the limit to others, unless there is only one. One of few bytes always may be.
+     */
+    [[nodiscard]] bool may_commit(std::uint64_t bytes) const;
+
     /** @return whether little is left, so that no more should be taken in than necessary. */
     [[nodiscard]] bool nearly_full() const { return held_ > limit_ - limit_ / 4; }
 
@@ -58,10 +65,12 @@
         std::function<void()> give_back;
     };
 
-    void reclaim_from_largest();
+    bool reclaim_from_largest();
+    void set(account& of, std::uint64_t bytes, holding what);
 
     std::uint64_t limit_;
     std::uint64_t held_ = 0;
+    std::uint64_t committed_ = 0; ///< part of held_
     std::uint64_t reclaims_ = 0;
     holder last_holder_ = 0;
     std::map<holder, account> accounts_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -155,6 +155,14 @@
     connection->respond(call, std::move(response));
 }
 
+void http_server::abandon(call_id call)
+{
+    auto const found = calls_.find(call);
+    if (found != calls_.end()) {
+        found->second->close();
+    }
+}
+
 std::string http_server::client_ip(call_id call) const
 {
     auto const found = calls_.find(call);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -29,7 +29,8 @@
 
 /** Callbacks of a server to its owner. */
 struct server_hooks {
-    std::function<void(call_id, http_request)> request; ///< a complete request was received
+    /// A complete request was received. Its body is not counted here any more.
+    std::function<void(call_id, http_request)> request;
     /// The client disconnected before the response.
     std::function<void(call_id)> client_disconnected;
     /// A request was read; its last bytes had been received this long before. May be empty.
@@ -59,6 +60,9 @@
     /** Sends the response to a call; ignored if the call has ended in the meantime. */
     void respond(call_id call, http_response response);
 
+    /** Closes the connection of a call without a response; ignored if the call has ended. */
+    void abandon(call_id call);
+
     /** Changes the limits: sizes from a connection's next request, timeouts from its next phase. */
     void set_limits(server_limits const& limits) { limits_ = limits; }
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -350,6 +350,9 @@
 {
     while (auto call = pipeline_.start_next()) {
         server_.calls_[call->id] = this;
+        if (!call->request.body().empty()) {
+            count_memory(); // the owner of the call counts the body
+        }
         server_.hooks_.request(call->id, std::move(call->request));
     }
 }
