Bound connections, bodies and memory at every address

Seen: only the addresses for clients and for other hosts shared the memory budget, and only that for clients had a bound on connections.

Now all five servers share the budget. Look-ups, readiness and metrics have no body, so a body there gets 413. divide_descriptors() gives each address a bound on its connections; at the bound the longest idle one is closed, as it was at the address for clients, whose bound is the same as before. Relays get a quarter, as requests with homes elsewhere come that way in calm.

Crowds at the addresses for clients and for relays at once can still exceed the descriptors, and what comes to the address for messages of hosts is not bounded here. The two cases of listener_limits were built and run by themselves; host_test was not.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -2,6 +2,7 @@
 
 #include "core/deflate_func.h"
 #include "core/hash_func.h"
+#include "host/listener_limits.h"
 #include "log/log_func.h"
 
 #include <algorithm>
@@ -9,7 +10,6 @@
 #include <ctime>
 #include <fstream>
 #include <random>
-#include <sys/resource.h>
 #include <unistd.h>
 
 namespace cove {
@@ -57,7 +57,6 @@
 /// Part of the memory that buffers may take, less what the process needs itself.
 constexpr std::uint64_t buffer_memory_divisor = 2;
 constexpr std::uint64_t min_buffer_divisor = 8; ///< buffers get at least this part of the memory
-constexpr std::uint64_t reserved_descriptors = 200; ///< for files and connections to other hosts
 /// A client gives up a host that has not read its request after a second; this is a warning before.
 constexpr milliseconds reported_delay{200};
 /// `loop_late` lines cover the work since the last note.
@@ -113,19 +112,6 @@
     return std::max(least, half - std::min(half, resident_bytes()));
 }
 
-/** @return the bound on client connections: three quarters of the descriptors. */
-std::size_t max_client_connections(host_settings const& settings)
-{
-    rlimit limit{};
-    auto descriptors = static_cast<std::uint64_t>(settings.max_descriptors);
-    if (descriptors == 0) {
-        ::getrlimit(RLIMIT_NOFILE, &limit);
-        descriptors =
-            limit.rlim_cur - std::min<std::uint64_t>(limit.rlim_cur, reserved_descriptors);
-    }
-    return std::max<std::uint64_t>(1, descriptors / 4 * 3);
-}
-
 exchange_limits answer_limits(std::shared_ptr<memory_budget> memory)
 {
     exchange_limits limits;
@@ -214,7 +200,17 @@
     forwarder_.set_freshness([this] { return freshness_.fresh(); });
     clients_.share_memory(answers_);
     relays_.share_memory(answers_);
-    clients_.set_max_connections(max_client_connections(settings_));
+    for (http_server* const each : {&readiness_, &directory_, &metrics_}) {
+        each->share_memory(answers_);
+        each->set_limits(bodiless_limits());
+    }
+    connection_bounds const bounds =
+        divide_descriptors(usable_descriptors(settings_.max_descriptors));
+    clients_.set_max_connections(bounds.clients);
+    relays_.set_max_connections(bounds.relays);
+    directory_.set_max_connections(bounds.lookups);
+    readiness_.set_max_connections(bounds.operators);
+    metrics_.set_max_connections(bounds.operators);
     forwarder_.on_links_changed([this](bool) {
         // Not at once, as the reducer's effects are still being carried out.
         timers_.once(read_clocks().mono, [this] { report_peers(read_clocks().mono); });
