A host that targets still send to is not cut off because new connections are late

Cause: a round that reaches no target was taken for a cut, whatever else arrived. Connections that are late can't be told from links that are cut by probes alone.

Change: bytes or answers of targets that come after the start of a round contradict it, if more than half of its probes merely got no reply in time. No cut is then believed; the suspicion stays, so that another round follows 500 ms after the start of the first. Refusals, bytes from before the round and silence decide as before, so cuts that hang, reset, or refuse new connections while open ones live on are noticed as fast. It holds for hosts that stop and for those that don't: the latter had withdrawn running work as well, and left the look-ups.

Tests: five new cases.

Not mended: why new connections of that host got no reply for over a second.

--- a/src/traffic/reach_monitor.cpp
+++ b/src/traffic/reach_monitor.cpp
@@ -96,6 +96,9 @@
             connects_.succeeded(now);
             return false;
         }
+        if (contradicted()) {
+            return false; // the suspicion stays, so that another round follows
+        }
         bool const relapsed = mended_ && now - *mended_ < relapse_time;
         rounds_needed_ =
             relapsed ? std::min(2 * rounds_needed_, max_rounds_needed) : first_rounds_needed;
@@ -114,6 +117,15 @@
     return true;
 }
 
+/**
+ * @return whether targets are heard although no probe has reached one: new connections are late, as
+ * on a full link. Refusals are no sign of that.
+ */
+bool reach_monitor::contradicted() const
+{
+    return 2 * timed_out_ > probes_ && last_received_ > last_round_;
+}
+
 probe_round reach_monitor::round(mono_time now) const
 {
     auto const age = [now](mono_time at) {
--- a/src/traffic/reach_monitor.h
+++ b/src/traffic/reach_monitor.h
@@ -22,10 +22,11 @@
  * Judges the links of this host to the targets.
  *
  * Several targets that fail while none answers, or that get no connection while none gets one,
- * raise a suspicion; then a round of probes to targets of all services and zones decides. While cut
- * off, the host goes on with such rounds, and after some good ones in a row it sends requests
- * directly again, a growing share of them. After cuts that follow each other soon, more good rounds
- * are needed.
+ * raise a suspicion; then a round of probes to targets of all services and zones decides. If most
+ * of them get no reply in time while bytes still arrive from targets, the links are only slow.
+ * While cut off, the host goes on with such rounds, and after some good ones in a row it sends
+ * requests directly again, a growing share of them. After cuts that follow each other soon, more
+ * good rounds are needed.
  */
 class reach_monitor {
 public:
@@ -71,6 +72,7 @@
 
 private:
     bool end_round(mono_time now);
+    [[nodiscard]] bool contradicted() const;
 
     /** Targets that failed since the last success, by short hash. */
     struct failures {
--- a/tests/traffic/relay_test.cpp
+++ b/tests/traffic/relay_test.cpp
@@ -31,6 +31,21 @@
         }
     }
 
+    /** Plays a round in which no probe reaches a target and @p timed_out of 4 get no reply. */
+    void failed_round(int timed_out, std::optional<milliseconds> received_after)
+    {
+        now += seconds{1};
+        ASSERT_TRUE(monitor.probes_due(targets, now));
+        monitor.probes_started(4, now);
+        if (received_after) {
+            monitor.received(now + *received_after);
+        }
+        now += milliseconds{250};
+        for (int i = 0; i < 4; ++i) {
+            monitor.probe_ended(false, now, i < timed_out);
+        }
+    }
+
     reach_monitor monitor;
     mono_time now{seconds{100}};
 };
@@ -67,6 +82,44 @@
     EXPECT_EQ(monitor.relay_share(now), 0);
 }
 
+TEST_F(reach_case, a_host_that_targets_still_send_to_is_not_cut_off_by_late_connections)
+{
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        monitor.connect_failed(i, now);
+    }
+    failed_round(4, milliseconds{100});
+    EXPECT_FALSE(monitor.cut_off());
+    failed_round(3, milliseconds{1});
+    EXPECT_FALSE(monitor.cut_off());
+    EXPECT_EQ(monitor.relay_share(now), 0);
+}
+
+TEST_F(reach_case, links_that_fall_silent_after_a_round_of_late_connections_are_a_cut)
+{
+    fail_targets(3);
+    failed_round(4, milliseconds{100});
+    now += milliseconds{250}; // the shortest time between two rounds has passed
+    EXPECT_TRUE(monitor.probes_due(targets, now));
+    failed_round(4, std::nullopt);
+    EXPECT_TRUE(monitor.cut_off());
+}
+
+TEST_F(reach_case, what_came_before_the_round_is_no_sign_of_a_link)
+{
+    fail_targets(3);
+    failed_round(4, milliseconds{0});
+    EXPECT_TRUE(monitor.cut_off());
+}
+
+TEST_F(reach_case, open_connections_do_not_hide_that_new_ones_are_refused)
+{
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        monitor.connect_failed(i, now);
+    }
+    failed_round(2, milliseconds{100});
+    EXPECT_TRUE(monitor.cut_off());
+}
+
 TEST_F(reach_case, requests_return_by_steps_after_good_rounds_in_a_row)
 {
     fail_targets(3);
@@ -179,6 +232,35 @@
     EXPECT_EQ(of_kind<probe_target>(advance_effects).size(), 4U);
 }
 
+TEST_F(relay_case,
+       running_requests_stay_where_they_are_while_targets_answer_beside_late_connections)
+{
+    list(6);
+    request_id const running = arrive("slow");
+    ASSERT_TRUE(single<send_attempt>());
+    for (int i = 0; i < 12 && of_kind<probe_target>(advance_effects).empty(); ++i) {
+        request_id const id = arrive("o" + std::to_string(i));
+        for (auto sent = of_kind<send_attempt>(effects); !sent.empty();
+             sent = of_kind<send_attempt>(effects)) {
+            attempt_ended event = ended(id, sent.back().attempt.target, attempt_end::not_connected);
+            event.connect_timed_out = true;
+            feed(event);
+        }
+        advance(milliseconds{40});
+    }
+    auto const probes = of_kind<probe_target>(advance_effects);
+    ASSERT_EQ(probes.size(), 4U);
+    advance_effects.clear();
+    now += milliseconds{250};
+    for (std::size_t i = 0; i < probes.size(); ++i) {
+        feed(probe_ended{false, true, now - milliseconds{20}});
+        EXPECT_TRUE(of_kind<cancel_attempt>(effects).empty());
+    }
+    EXPECT_FALSE(reducer.cut_off());
+    end(running, attempts.at(running).target, attempt_end::succeeded);
+    EXPECT_TRUE(single<deliver_answer>());
+}
+
 TEST_F(relay_case, requests_go_by_way_of_the_nearest_host)
 {
     list(6);
