Let progress decide which connection gives its place at the bound

Seen: at the bound on connections only an idle one was closed for a new one. Requests that stopped short of their end, or came byte by byte, kept their places for up to 30 s, and every ordinary client was refused meanwhile (two cases of stalled_crowd, red on: no answer).

Now choose_to_close() decides among the connections on which no request is being worked on: the one that brought least in its time goes first, so the longest idle one before any that sends. A connection of the last second goes only if it is idle and there is no other, so that a crowd that comes again and again does not displace clients that have just connected. It has no network and no clock of its own.

Under memory pressure the largest incomplete request still goes first.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -108,26 +108,29 @@
     });
 }
 
-/** At the bound, closes the longest idle connection. @return whether one more may be open. */
+/**
+ * At the bound, closes the connection that brought least in its time, of those on which no request
+ * is being worked on. @return whether one more may be open.
+ */
 bool http_server::make_room()
 {
     if (connections_.size() < max_connections_) {
         return true;
     }
     ++over_bound_;
-    server_connection* longest = nullptr;
-    mono_time first = mono_time::max();
+    std::vector<server_connection*> candidates;
+    std::vector<waiting_connection> waiting;
     for (auto const& [key, connection] : connections_) {
-        auto const until = connection->idle_until();
-        if (until && *until < first) {
-            longest = key;
-            first = *until;
+        if (auto const state = connection->waiting()) {
+            candidates.push_back(key);
+            waiting.push_back(*state);
         }
     }
-    if (longest == nullptr) {
+    auto const chosen = choose_to_close(waiting, read_clocks().mono);
+    if (!chosen) {
         return false;
     }
-    longest->close();
+    candidates[*chosen]->close();
     return true;
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -70,8 +70,8 @@
     void share_memory(std::shared_ptr<memory_budget> memory) { memory_ = std::move(memory); }
 
     /**
-     * Bounds the open connections; at the bound the longest idle one is closed for a new one, and
-     * without an idle one the new one is refused.
+     * Bounds the open connections; at the bound one without a request that is worked on is closed
+     * for a new one, as choose_to_close() decides, else the new one is refused.
      */
     void set_max_connections(std::size_t count) { max_connections_ = count; }
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -84,6 +84,7 @@
 /** Reads the next request, or waits for it, if another may be read now. */
 void server_connection::read_next()
 {
+    waiting_since_ = read_clocks().mono;
     enter_phase(phase::between, pipeline_.empty() ? server_.limits_.idle_timeout : no_timeout);
     bool const full = server_.memory_ && server_.memory_->nearly_full();
     bool const waits = (server_.closing_ || full) && !pipeline_.empty();
@@ -135,6 +136,7 @@
 {
     reader_.emplace(request_limits{server_.limits_.header_bytes, server_.limits_.body_bytes});
     buffer_.max_size(std::max(reader_->buffer_limit(), buffer_.size()));
+    waiting_since_ = read_clocks().mono;
     enter_phase(phase::header, server_.limits_.header_timeout);
     count_memory();
     if (!input_open()) {
@@ -507,9 +509,13 @@
     }
 }
 
-std::optional<mono_time> server_connection::idle_until() const
+std::optional<waiting_connection> server_connection::waiting() const
 {
-    return phase_ == phase::between && pipeline_.empty() ? std::optional(deadline_) : std::nullopt;
+    if (!pipeline_.empty() || writing_ || !input_open()) {
+        return std::nullopt;
+    }
+    std::size_t const body = reader_ && phase_ == phase::body ? reader_->held() : 0;
+    return waiting_connection{waiting_since_, body + buffer_.size()};
 }
 
 void server_connection::close()
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 /** @file One client connection of an http_server. */
 
+#include "http/connection_choice.h"
 #include "http/request_reader.h"
 #include "http/server.h"
 
@@ -34,8 +35,8 @@
     /** Closes the connection if it waits for the first byte of a request. */
     void close_if_idle();
 
-    /** @return until when it may wait for a request; nullopt unless it does. */
-    [[nodiscard]] std::optional<mono_time> idle_until() const;
+    /** @return what it waits for and what it has brought; nullopt while a request is worked on. */
+    [[nodiscard]] std::optional<waiting_connection> waiting() const;
 
     /** Closes the connection; reports the calls in progress to the client_disconnected hook. */
     void close();
@@ -78,6 +79,7 @@
     call_pipeline pipeline_;
     http_response response_; ///< being written
     phase phase_ = phase::between;
+    mono_time waiting_since_{};                   ///< for a request, or for the rest of it
     mono_time deadline_{};                        ///< end of the current phase
     mono_time write_deadline_ = mono_time::max(); ///< end of the current write
     bool watching_ = false;                       ///< a wait for bytes is pending
