--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -66,7 +66,9 @@
     void report_unread(milliseconds time);
     void reload();
     void start_leaving();
+    void log_open_sends(std::string const& event);
     void finish_leaving();
+    void stop_process(std::string const& reason);
 
     bool on_config(config_document const& document, std::string packed, std::string const& source);
     void push_config();
@@ -156,6 +158,7 @@
     std::vector<directory_host> directory_hosts_;
     std::vector<node_id> zone_serving_; ///< serving hosts of this zone
     quota_division quota_division_;
+    std::set<node_id> stopping_hosts_; ///< as last reported to the forwarder
     lag_detector lag_;
     /// This host is one of those that watch the store; the others get changes from them.
     bool follows_store_ = false;
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "host/request_forwarder.h"
 
 #include "core/hash_func.h"
+#include "http/counted_body.h"
 #include "http/forwarding.h"
 #include "traffic/load_field.h"
 
@@ -19,12 +20,16 @@
 constexpr milliseconds tick_interval{20}; ///< resolution of queue waits and timeouts
 constexpr milliseconds no_config_retry_after{
     500}; ///< a new host usually has a configuration by then
+/// Requests that take most of the memory have usually ended by then.
+constexpr milliseconds no_memory_retry_after{1000};
 /// A few round trips between regions.
 constexpr milliseconds connect_timeout{300};
 /// Field of a relayed request with the IP of the client; read on the port for other hosts only.
 constexpr char const* client_field = "Cove-Client";
 /// Field of a relayed request with the number of targets that it may still be sent to.
 constexpr char const* attempts_field = "Cove-Attempts";
+/// Field of a relayed request with the name of the host that relays it.
+constexpr char const* host_field = "Cove-Host";
 constexpr std::uint64_t relayed_id_bit = std::uint64_t{1} << 63U; ///< calls of two servers differ
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
@@ -159,9 +164,9 @@
                                      header_names names, traffic_settings settings,
                                      exchange_limits const& limits, log_limiter& log,
                                      loop_monitor& monitor)
-    : timers_(timers), names_(std::move(names)), log_(log), monitor_(monitor),
-      traffic_(std::move(settings)), pool_(loop, timers, limits), relay_pool_(loop, timers, limits),
-      admission_({names_.workspace, names_.key_scheme}, log)
+    : timers_(timers), memory_(limits.memory), names_(std::move(names)), host_(settings.host),
+      log_(log), monitor_(monitor), traffic_(std::move(settings)), pool_(loop, timers, limits),
+      relay_pool_(loop, timers, limits), admission_({names_.workspace, names_.key_scheme}, log)
 {
     tick_ = timers_.every(tick_interval, [this] {
         if (traffic_.needs_ticks()) {
@@ -232,10 +237,15 @@
     while (!performing_ && !failed_.empty()) {
         request_id const id = failed_.back();
         failed_.pop_back();
+        if (auto const found = open_.find(id); found != open_.end() && found->second.exchange) {
+            cancel_attempt failed;
+            failed.id = found->second.exchange->id;
+            failed.reason = withdrawal::host_failed;
+            withdraw(found->second, failed);
+        }
         perform(client_disconnected{id, true}); // frees its slot, wherever it is
         if (auto const found = open_.find(id); found != open_.end()) {
             record_outcome(found->second, "host_failed");
-            abort_exchange(found->second, false);
             open_.erase(found);
         }
         bool const relayed = (id.value & relayed_id_bit) != 0;
@@ -262,6 +272,8 @@
     open.client = to_std_string(request[client_field]);
     request.erase(client_field);
     open.attempts_left = take_attempts_left(request);
+    open.relayed_by = node_id(to_std_string(request[host_field]));
+    request.erase(host_field);
     open.message = std::move(request);
     accept(request_id(call.value | relayed_id_bit), std::move(open), true);
 }
@@ -332,6 +344,12 @@
                           relayed,
                           admitted.terms};
     event.terms.attempts_left = open.attempts_left;
+    event.terms.relayed_by = open.relayed_by;
+    if (memory_ && !route->idempotent && !memory_->may_commit(request.body().size())) {
+        record_outcome(open, "no_memory");
+        respond(*open.server, open.call, http::status::service_unavailable, no_memory_retry_after);
+        return;
+    }
     if (quotas_ != nullptr && !relayed) {
         open.quota = quotas_->take(event.terms.workspace, event.deadline, open.arrived);
         if (!open.quota.admitted) {
@@ -344,12 +362,27 @@
     remove_hop_by_hop_fields(request);
     request.erase(http::field::expect);
     request.version(http_version);
-    open.body = std::make_shared<std::string>(std::move(request.body()));
+    open.body = keep_body(open, std::move(request.body()));
     request.body().clear();
     open_.emplace(event.id, std::move(open));
     feed(event);
 }
 
+/**
+ * @return the body of a request, counted while it exists. One that may run twice ends when its
+ * memory is needed, as if its client had left; any other goes on.
+ */
+std::shared_ptr<std::string> request_forwarder::keep_body(open_request const& open,
+                                                          std::string body)
+{
+    // Not at once, as another request may be at work.
+    auto const give_back = [this, server = open.server, call = open.call] {
+        timers_.once(read_clocks().mono, [server, call] { server->abandon(call); });
+    };
+    return count_body(std::move(body), memory_,
+                      open.route->idempotent ? holding::request : holding::committed, give_back);
+}
+
 void request_forwarder::on_client_disconnected(call_id call)
 {
     on_disconnected(request_id(call.value));
@@ -525,16 +558,16 @@
     }
 }
 
-/** Ends the exchange in progress, if any. @param overdue as of cancel_attempt. */
-void request_forwarder::abort_exchange(open_request& open, bool overdue)
+/** Ends the exchange in progress. */
+void request_forwarder::withdraw(open_request& open, cancel_attempt const& effect)
 {
-    if (!open.exchange) {
-        return;
-    }
     running_exchange const aborted = *open.exchange;
     open.exchange.reset();
     open.may_have_run = open.may_have_run || aborted.used->sending();
-    if (overdue) {
+    withdrawals_.note(effect,
+                      {open.attempt_id, aborted.peer.value, open.service, aborted.used->sending()},
+                      read_clocks().mono);
+    if (effect.reason == withdrawal::overdue || effect.reason == withdrawal::time_limit) {
         aborted.pool.give_up(aborted.peer, aborted.used);
     }
     else {
@@ -542,6 +575,13 @@
     }
 }
 
+std::size_t request_forwarder::open_sends() const
+{
+    return static_cast<std::size_t>(std::count_if(open_.begin(), open_.end(), [](auto const& item) {
+        return item.second.exchange.has_value();
+    }));
+}
+
 /** Gives up connecting, so that the request goes elsewhere while there is time. */
 void request_forwarder::limit_connect_time(connection const& used)
 {
@@ -567,6 +607,7 @@
     http_request message = header_of(open, effect.time_left, names_.deadline);
     admission_.prepare_for_relay(message, open.credentials);
     message.set(client_field, open.client);
+    message.set(host_field, host_.value);
     message.set(attempts_field, std::to_string(effect.attempts_left));
     target_id const peer(effect.address);
     connection const used =
@@ -627,8 +668,41 @@
 void request_forwarder::execute(probe_target const& effect)
 {
     pool_.probe(effect.target, effect.address, [this](probe_result result) {
-        feed(probe_ended{result == probe_result::reached});
+        feed(probe_ended{result == probe_result::reached, result == probe_result::timed_out,
+                         last_received_from_targets()});
+    });
+}
+
+/** @return when bytes last came on a connection to a target that is in use. */
+mono_time request_forwarder::last_received_from_targets() const
+{
+    mono_time last{};
+    for (auto const& [id, open] : open_) {
+        if (open.exchange && &open.exchange->pool == &pool_) {
+            last = std::max(last, open.exchange->used->last_received());
+        }
+    }
+    return last;
+}
+
+void request_forwarder::execute(links_probed const& effect)
+{
+    auto const text_of = [](std::optional<milliseconds> time) {
+        return time ? std::to_string(time->count()) : "";
+    };
+    auto const connecting = std::count_if(open_.begin(), open_.end(), [this](auto const& item) {
+        auto const& exchange = item.second.exchange;
+        return exchange && &exchange->pool == &pool_ && !exchange->used->connected();
     });
+    probe_round const& round = effect.round;
+    // Not limited: the failures that lead to a round use up the lines of a second.
+    log_event("links_probed", {{"probes", std::to_string(round.probes)},
+                               {"reached", std::to_string(round.reached)},
+                               {"timed_out", std::to_string(round.timed_out)},
+                               {"answer_ms", text_of(round.answer)},
+                               {"received_ms", text_of(round.receipt)},
+                               {"connecting", std::to_string(connecting)},
+                               {"open", std::to_string(open_.size())}});
 }
 
 void request_forwarder::execute(links_changed const& effect)
@@ -766,7 +840,7 @@
         found->second.exchange->id != effect.id) {
         return; // its connection has ended, and the target is being probed
     }
-    abort_exchange(found->second, effect.overdue);
+    withdraw(found->second, effect);
 }
 
 void request_forwarder::execute(deliver_answer const& effect)
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -3,6 +3,7 @@
 
 #include "host/request_admission.h"
 #include "host/target_connection_pool.h"
+#include "host/withdrawal_log.h"
 #include "host/workspace_quotas.h"
 #include "http/server.h"
 #include "log/log_limiter.h"
@@ -107,6 +108,9 @@
     [[nodiscard]] std::uint64_t blocked_requests() const { return blocked_requests_; }
     [[nodiscard]] std::uint64_t failed_requests() const { return failed_requests_; }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    /** @return number of requests that are at a target or another host. */
+    [[nodiscard]] std::size_t open_sends() const;
+    [[nodiscard]] withdrawal_log const& withdrawals() const { return withdrawals_; }
     [[nodiscard]] std::size_t queued_requests() const { return traffic_.queued_requests(); }
     [[nodiscard]] std::uint64_t ranked_requests() const { return traffic_.ranked_requests(); }
     [[nodiscard]] route_table const* routes() const { return routes_.get(); }
@@ -125,11 +129,12 @@
 
     struct open_request {
         http_request message;              ///< without its body
-        std::shared_ptr<std::string> body; ///< shared with the connection that sends it
+        std::shared_ptr<std::string> body; ///< counted; shared with the connection that sends it
         http_server* server = nullptr;     ///< through which it came
         call_id call;                      ///< of that server
         std::string client;                ///< IP
         std::optional<int> attempts_left;  ///< if another host relays it
+        node_id relayed_by;                ///< that host, if it names itself
         std::string attempt_id;
         request_fingerprint fingerprint;
         std::shared_ptr<route_config const> route;
@@ -161,12 +166,15 @@
     void execute(log_blocked_request const& effect);
     void execute(relay_request const& effect);
     void execute(probe_target const& effect);
+    void execute(links_probed const& effect);
     void execute(links_changed const& effect);
     std::optional<int> take_attempts_left(http_request& request);
     void accept(request_id id, open_request open, bool relayed);
+    std::shared_ptr<std::string> keep_body(open_request const& open, std::string body);
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
     void give_back(open_request const& open);
+    [[nodiscard]] mono_time last_received_from_targets() const;
     [[nodiscard]] bool client_connected(request_id id) const;
     [[nodiscard]] exchange_connection::condition still_wanted(request_id id) const;
     [[nodiscard]] static http_request header_of(open_request const& open, milliseconds time_left,
@@ -174,7 +182,7 @@
     void limit_connect_time(connection const& used);
     static void begin_exchange(open_request& open, running_exchange exchange);
     static void end_exchange(open_request& open, send_id const& id);
-    static void abort_exchange(open_request& open, bool overdue);
+    void withdraw(open_request& open, cancel_attempt const& effect);
     void on_relay_end(relay_request const& relay, connection const& used, exchange_result result);
     void on_attempt_end(send_attempt const& attempt, connection const& used, bool fresh,
                         exchange_result result);
@@ -190,8 +198,11 @@
 
     workspace_quotas* quotas_ = nullptr;
     loop_timers& timers_;
+    std::shared_ptr<memory_budget> memory_; ///< counts the bodies of requests
     header_names names_;
+    node_id host_; ///< this one
     log_limiter& log_;
+    withdrawal_log withdrawals_;
     loop_monitor& monitor_;
     traffic traffic_;
     target_connection_pool pool_;
--- a/src/http/call_pipeline.cpp
+++ b/src/http/call_pipeline.cpp
@@ -46,6 +46,7 @@
     next->at = state::running;
     pipelined_call started{next->id, std::move(*next->request), next->concurrent, next->bytes};
     next->request.reset();
+    next->bytes -= std::min(next->bytes, started.request.body().size());
     return started;
 }
 
@@ -105,11 +106,12 @@
     return sum;
 }
 
-bool call_pipeline::unanswered() const
+std::size_t call_pipeline::unanswered_calls() const
 {
-    return std::any_of(entries_.begin(), entries_.end(), [](entry const& each) {
-        return each.at == state::waiting || each.at == state::running;
-    });
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(), [](entry const& each) {
+            return each.at == state::waiting || each.at == state::running;
+        }));
 }
 
 } // namespace cove
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -29,7 +29,8 @@
 
 /** Callbacks of a server to its owner. */
 struct server_hooks {
-    std::function<void(call_id, http_request)> request; ///< a complete request was received
+    /// A complete request was received. Its body is not counted here any more.
+    std::function<void(call_id, http_request)> request;
     /// The client disconnected before the response.
     std::function<void(call_id)> client_disconnected;
     /// A request was read; its last bytes had been received this long before. May be empty.
@@ -41,6 +42,16 @@
     std::function<bool(http_request const&)> concurrent = nullptr;
 };
 
+/** What a server owes to its clients. */
+struct server_debts {
+    std::size_t connections = 0; ///< open
+    std::size_t unanswered = 0;  ///< complete requests without a response
+    std::size_t unsent = 0;      ///< responses that are not completely handed to the system
+    std::size_t unacknowledged_bytes = 0; ///< handed to the system; the client may not have them
+};
+
+server_debts operator+(server_debts const& left, server_debts const& right);
+
 class server_connection;
 
 /** Receives requests on one address and sends the responses that its owner provides. */
@@ -59,6 +70,9 @@
     /** Sends the response to a call; ignored if the call has ended in the meantime. */
     void respond(call_id call, http_response response);
 
+    /** Closes the connection of a call without a response; ignored if the call has ended. */
+    void abandon(call_id call);
+
     /** Changes the limits: sizes from a connection's next request, timeouts from its next phase. */
     void set_limits(server_limits const& limits) { limits_ = limits; }
 
@@ -66,21 +80,30 @@
     void share_memory(std::shared_ptr<memory_budget> memory) { memory_ = std::move(memory); }
 
     /**
-     * Bounds the open connections; at the bound the longest idle one is closed for a new one, and
-     * without an idle one the new one is refused.
+     * Bounds the open connections; at the bound one without a request that is worked on is closed
+     * for a new one, as choose_to_close() decides, else the new one is refused.
      */
     void set_max_connections(std::size_t count) { max_connections_ = count; }
 
     /** @return how many connections were refused or closed at the bound so far. */
     [[nodiscard]] std::uint64_t connections_over_bound() const { return over_bound_; }
 
-    /** Closes each connection after the last response that it owes, from now on. */
+    /**
+     * From now on, closes each connection after the last response that it owes, also to requests
+     * that have arrived behind the one that is answered.
+     */
     void close_after_responses() { closing_ = true; }
 
-    /** Stops accepting connections. */
+    /**
+     * Stops accepting connections, behind those that are established, and requests behind one that
+     * has no response yet.
+     */
     void stop_accepting();
 
-    /** Closes all connections that wait for the first byte of a request. */
+    /** @return whether connections are accepted. */
+    [[nodiscard]] bool accepting() const { return acceptor_.is_open(); }
+
+    /** Closes all connections on which nothing of a next request has arrived, read or not. */
     void close_idle();
 
     /** Answers 503 to the clients whose requests have arrived in part. */
@@ -89,6 +112,9 @@
     /** @return the number of open connections. */
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    /** @return what is owed on all open connections. */
+    [[nodiscard]] server_debts debts() const;
+
     /** @return the number of failures to accept a connection so far. */
     [[nodiscard]] std::uint64_t accept_errors() const { return accept_errors_; }
 
@@ -102,6 +128,7 @@
     friend class server_connection;
 
     void accept();
+    void add(boost::asio::ip::tcp::socket socket);
     void on_accept_error(boost::system::error_code error);
     void close_ended();
     bool make_room();
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace cove {
@@ -81,12 +83,28 @@
     return phase_ == phase::header || phase_ == phase::held || phase_ == phase::body;
 }
 
+/** @return whether there are bytes of further requests that are to be served before a stop. */
+bool server_connection::more_has_arrived()
+{
+    return request_arrives() || (phase_ == phase::between &&
+                                 (buffer_.size() > 0 || (server_.accepting() && has_unread())));
+}
+
+/** @return whether bytes have arrived that are not read. */
+bool server_connection::has_unread()
+{
+    int unread = 0;
+    return ::ioctl(socket_.native_handle(), SIOCINQ, &unread) == 0 && unread > 0;
+}
+
 /** Reads the next request, or waits for it, if another may be read now. */
 void server_connection::read_next()
 {
+    waiting_since_ = read_clocks().mono;
     enter_phase(phase::between, pipeline_.empty() ? server_.limits_.idle_timeout : no_timeout);
     bool const full = server_.memory_ && server_.memory_->nearly_full();
-    bool const waits = (server_.closing_ || full) && !pipeline_.empty();
+    bool const no_more = !server_.accepting() && buffer_.size() == 0;
+    bool const waits = (no_more || full) && !pipeline_.empty();
     if (pipeline_.empty() && buffer_.size() == 0) {
         buffer_.shrink_to_fit();
         release_memory();
@@ -135,6 +153,7 @@
 {
     reader_.emplace(request_limits{server_.limits_.header_bytes, server_.limits_.body_bytes});
     buffer_.max_size(std::max(reader_->buffer_limit(), buffer_.size()));
+    waiting_since_ = read_clocks().mono;
     enter_phase(phase::header, server_.limits_.header_timeout);
     count_memory();
     if (!input_open()) {
@@ -350,6 +369,9 @@
 {
     while (auto call = pipeline_.start_next()) {
         server_.calls_[call->id] = this;
+        if (!call->request.body().empty()) {
+            count_memory(); // the owner of the call counts the body
+        }
         server_.hooks_.request(call->id, std::move(call->request));
     }
 }
@@ -381,7 +403,7 @@
     if (closed_ || gives_up_ || writing_) {
         return;
     }
-    if (auto due = pipeline_.take_response(server_.closing_)) {
+    if (auto due = pipeline_.take_response(server_.closing_ && !more_has_arrived())) {
         write(std::move(*due));
     }
 }
@@ -499,14 +521,28 @@
 
 void server_connection::close_if_idle()
 {
-    if (phase_ == phase::between && pipeline_.empty()) {
+    if (phase_ == phase::between && pipeline_.empty() && !has_unread()) {
         close();
     }
 }
 
-std::optional<mono_time> server_connection::idle_until() const
+std::optional<waiting_connection> server_connection::waiting() const
 {
-    return phase_ == phase::between && pipeline_.empty() ? std::optional(deadline_) : std::nullopt;
+    if (!pipeline_.empty() || writing_ || !input_open()) {
+        return std::nullopt;
+    }
+    std::size_t const body = reader_ && phase_ == phase::body ? reader_->held() : 0;
+    return waiting_connection{waiting_since_, body + buffer_.size()};
+}
+
+server_debts server_connection::debts()
+{
+    int unacknowledged = 0;
+    if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+        unacknowledged = 0; // the connection has ended
+    }
+    std::size_t const unanswered = pipeline_.unanswered_calls();
+    return {1, unanswered, pipeline_.size() - unanswered, static_cast<std::size_t>(unacknowledged)};
 }
 
 void server_connection::close()
--- a/src/traffic/reach_monitor.cpp
+++ b/src/traffic/reach_monitor.cpp
@@ -51,6 +51,8 @@
 void reach_monitor::attempt_answered(mono_time now)
 {
     answers_.succeeded(now);
+    last_answer_ = now;
+    received(now);
 }
 
 void reach_monitor::connected(mono_time now)
@@ -72,14 +74,16 @@
     pending_ = count;
     probes_ = count;
     reached_ = 0;
+    timed_out_ = 0;
 }
 
-bool reach_monitor::probe_ended(bool reached, mono_time now)
+bool reach_monitor::probe_ended(bool reached, mono_time now, bool timed_out)
 {
     if (pending_ == 0) {
         return false;
     }
     reached_ += reached ? 1 : 0;
+    timed_out_ += timed_out ? 1 : 0;
     --pending_;
     return pending_ == 0 && end_round(now);
 }
@@ -92,6 +96,9 @@
             connects_.succeeded(now);
             return false;
         }
+        if (contradicted()) {
+            return false; // the suspicion stays, so that another round follows
+        }
         bool const relapsed = mended_ && now - *mended_ < relapse_time;
         rounds_needed_ =
             relapsed ? std::min(2 * rounds_needed_, max_rounds_needed) : first_rounds_needed;
@@ -110,6 +117,24 @@
     return true;
 }
 
+/**
+ * @return whether targets are heard although no probe has reached one: new connections are late, as
+ * on a full link. Refusals are no sign of that.
+ */
+bool reach_monitor::contradicted() const
+{
+    return 2 * timed_out_ > probes_ && last_received_ > last_round_;
+}
+
+probe_round reach_monitor::round(mono_time now) const
+{
+    auto const age = [now](mono_time at) {
+        return at == mono_time{} ? std::optional<milliseconds>()
+                                 : std::chrono::duration_cast<milliseconds>(now - at);
+    };
+    return {probes_, reached_, timed_out_, age(last_answer_), age(last_received_)};
+}
+
 double reach_monitor::relay_share(mono_time now) const
 {
     if (cut_off_) {
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -63,6 +63,7 @@
     request.client = event.client;
     request.fingerprint = event.fingerprint;
     request.relayed = event.relayed;
+    request.relayed_by = event.terms.relayed_by;
     request.workspace = event.terms.workspace;
     request.home_regions = event.terms.home_regions;
     request.home_elsewhere = !zone_allowed(request, settings_.zone);
@@ -320,7 +321,7 @@
     }
     service_id const service = request.service;
     if (request.in_progress()) {
-        abandon_send(request, false);
+        abandon_send(request, withdrawal::client_left);
     }
     remove_request(event.id);
     dispatch_queue(service);
@@ -480,6 +481,7 @@
     }
     balance_objects();
     relays_ = event.relays;
+    stopping_hosts_ = event.stopping_hosts;
     used_by_peers_.clear();
     for (auto const& [hash, count] : event.in_flight_by_target) {
         set_running(hash, count);
@@ -497,6 +499,7 @@
 void traffic::on(stop_announced const& event)
 {
     answers_due_ = event.answers_due;
+    stop_announced_ = now_;
     for (auto& [id, request] : requests_) {
         if (!request.in_progress()) {
             request.expires = std::min(request.expires, event.answers_due);
@@ -528,12 +531,12 @@
     constexpr double late_answer_factor = 2;     // so late, the link may be cut; probes tell
     constexpr double late_answer_floor_ms = 250;
     if (now_ >= request.expires + timeout_grace) {
-        abandon_send(request, true);
+        abandon_send(request, withdrawal::time_limit);
         refuse(request.id, refusal::gave_up, milliseconds{0});
         return;
     }
     if (answers_due_ && now_ >= *answers_due_ && request.expires > *answers_due_) {
-        abandon_send(request, false);
+        abandon_send(request, withdrawal::stop);
         refuse(request.id, refusal::lost_answer, milliseconds{0});
         return;
     }
@@ -556,14 +559,10 @@
     retry_on_other_target(request);
 }
 
-/**
- * Moves an idempotent request to another target if one can take it immediately. A host that stops
- * moves none: if the other target refuses the request too, nothing is left to answer it with.
- */
+/** Moves an idempotent request to another target if one can take it immediately. */
 void traffic::retry_on_other_target(pending_request& request)
 {
-    if (answers_due_ || request.attempts >= request.max_attempts ||
-        crashes_.blocked(request.fingerprint, now_)) {
+    if (!may_be_sent_again(request)) {
         return;
     }
     target_id const previous = *request.target;
@@ -576,16 +575,39 @@
             !option.candidate->target->can_send(rates_for(*option.candidate->target), now_)) {
             continue;
         }
-        if (!retry_limiter_.take(request.service, hosts_in_total_, now_)) {
-            return;
+        if (withdraw_to_send_again(request, withdrawal::overdue)) {
+            send(request, option);
         }
-        abandon_send(request, true);
-        request.may_have_run = true;
-        send(request, option);
         return;
     }
 }
 
+/**
+ * @return whether a running request may be withdrawn to send it again. It stays where it runs while
+ * this host, or the one that relays it, stops: if no other target takes it, nothing is left to
+ * answer it with.
+ */
+bool traffic::may_be_sent_again(pending_request const& request) const
+{
+    return !answers_due_ && !relaying_host_stops(request) && request.route->idempotent &&
+           request.attempts < request.max_attempts && !crashes_.blocked(request.fingerprint, now_);
+}
+
+/**
+ * Withdraws a running request that is sent again. No other function withdraws one that may still be
+ * answered. @return whether it was withdrawn.
+ */
+bool traffic::withdraw_to_send_again(pending_request& request, withdrawal reason)
+{
+    if (!may_be_sent_again(request) ||
+        !retry_limiter_.take(request.service, hosts_in_total_, now_)) {
+        return false;
+    }
+    abandon_send(request, reason);
+    request.may_have_run = true;
+    return true;
+}
+
 void traffic::remove_request(request_id id)
 {
     auto const found = requests_.find(id);
@@ -606,9 +628,14 @@
 }
 
 /** Cancels the send in progress, so that the request can be sent again or be answered. */
-void traffic::abandon_send(pending_request& request, bool overdue)
+void traffic::abandon_send(pending_request& request, withdrawal reason)
 {
-    effects_.push_back(cancel_attempt{request.last_send(), overdue});
+    auto const since = [this](std::optional<mono_time> start) -> std::optional<milliseconds> {
+        return start ? std::optional(std::chrono::duration_cast<milliseconds>(now_ - *start))
+                     : std::nullopt;
+    };
+    effects_.push_back(cancel_attempt{request.last_send(), reason, *since(request.sent),
+                                      since(stop_announced_), since(cut_off_since_)});
     if (request.target) {
         if (auto const found = targets_.find(*request.target); found != targets_.end()) {
             found->second.attempt_cancelled(request.last_send());
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -61,6 +61,7 @@
     bool may_have_run = false;
     bool client_disconnected = false; ///< the run at the target continues without a client
     bool relayed = false;             ///< by another host; must not be relayed again
+    node_id relayed_by;               ///< that host, if it is known
     bool relaying = false;            ///< another host carries it
     std::set<std::string> relays;     ///< addresses of the hosts that were asked to carry it
     std::set<target_id> tried;
@@ -186,6 +187,7 @@
     [[nodiscard]] bool wants_relay(pending_request const& request) const;
     bool relay(pending_request& request);
     [[nodiscard]] relay_host const* choose_relay(pending_request const& request) const;
+    [[nodiscard]] bool relaying_host_stops(pending_request const& request) const;
     void start_probes();
     void move_running_to_relays();
     void keep_suspects_apart(pending_request const& request,
@@ -208,6 +210,7 @@
                                        std::vector<placement_candidate>& candidates,
                                        std::vector<std::size_t> const& ranks);
     [[nodiscard]] bool ends_before_stop(pending_request const& request);
+    [[nodiscard]] bool must_be_tried(pending_request const& request) const;
     void wait_or_refuse(pending_request& request, placement_round& round,
                         placement_option const* queued_for);
     void send(pending_request& request, placement_option const& option);
@@ -215,7 +218,9 @@
     void refuse(request_id id, refusal reason, milliseconds until_slot_free);
     void remove_request(request_id id);
     [[nodiscard]] pending_request* find_in_progress(send_id const& id);
-    void abandon_send(pending_request& request, bool overdue);
+    void abandon_send(pending_request& request, withdrawal reason);
+    [[nodiscard]] bool may_be_sent_again(pending_request const& request) const;
+    bool withdraw_to_send_again(pending_request& request, withdrawal reason);
     void check_attempt(pending_request& request);
     void retry_on_other_target(pending_request& request);
 
@@ -246,7 +251,8 @@
     crash_table crashes_;
     reach_monitor reach_;
     std::vector<relay_host> relays_;
-    std::size_t next_probed_ = 0; ///< position in targets_ at which the next round starts
+    std::set<node_id> stopping_hosts_; ///< see peers_reported
+    std::size_t next_probed_ = 0;      ///< position in targets_ at which the next round starts
     std::map<std::pair<zone_id, service_id>, int> remote_quotas_;
     std::map<zone_id, moving_mean> rtt_ms_; ///< round-trip time, from connection times
     std::map<service_id, warm_window> warm_windows_;
@@ -261,7 +267,9 @@
     bool zone_peers_known_ = true;       ///< see peers_reported
     int hosts_in_total_ = 1;
     std::uint64_t ranked_requests_ = 0;
-    std::optional<mono_time> answers_due_; ///< set once this host stops
+    std::optional<mono_time> answers_due_;    ///< set once this host stops
+    std::optional<mono_time> stop_announced_; ///< set with answers_due_
+    std::optional<mono_time> cut_off_since_;  ///< set while the host takes itself for cut off
 };
 
 } // namespace cove
--- a/src/traffic/traffic_effect.h
+++ b/src/traffic/traffic_effect.h
@@ -1,6 +1,7 @@
 #pragma once
 /** @file Effects: actions that the traffic reducer requests from its caller. */
 
+#include "traffic/reach_monitor.h"
 #include "traffic/traffic_event.h"
 
 #include <string>
@@ -16,10 +17,23 @@
     bool idempotent = false;  ///< may run twice, so a broken connection costs only a retry
 };
 
+/** Why a send is withdrawn before its end. */
+enum class withdrawal {
+    overdue,     ///< its answer is probably lost; the request is sent again
+    cut_off,     ///< this host has lost its links to all targets; other hosts carry the request
+    client_left, ///< nobody waits for the answer
+    time_limit,  ///< the time of the request is over
+    stop,        ///< this host stops and has to answer now
+    host_failed, ///< an error in this host has ended the handling of the request
+};
+
 /** Cancel an attempt or a relay and discard its result, unless it has ended already. */
 struct cancel_attempt {
     send_id id;
-    bool overdue = false; ///< because its answer is
+    withdrawal reason = withdrawal::overdue;
+    milliseconds running_for{};               ///< since the send began
+    std::optional<milliseconds> stopping_for; ///< since the stop was announced; unset: it was not
+    std::optional<milliseconds> cut_off_for;  ///< since the links were found lost; unset: they work
 };
 
 /** Forward the answer of the target to the client. */
@@ -71,6 +85,11 @@
     std::string address;
 };
 
+/** A round of probes has ended. */
+struct links_probed {
+    probe_round round;
+};
+
 /** This host has lost its links to all targets, or has them again. */
 struct links_changed {
     bool cut_off = false;
@@ -78,7 +97,7 @@
 
 using traffic_effect =
     std::variant<send_attempt, cancel_attempt, deliver_answer, answer_locally, report_crashes,
-                 log_blocked_request, relay_request, probe_target, links_changed>;
+                 log_blocked_request, relay_request, probe_target, links_probed, links_changed>;
 using traffic_effects = std::vector<traffic_effect>;
 
 } // namespace cove
--- a/src/traffic/traffic_relay.cpp
+++ b/src/traffic/traffic_relay.cpp
@@ -33,13 +33,19 @@
 
 void traffic::on(probe_ended const& event)
 {
-    if (!reach_.probe_ended(event.reached, now_)) {
+    reach_.received(event.last_received);
+    bool const changed = reach_.probe_ended(event.reached, now_, event.timed_out);
+    if (reach_.round_ended()) {
+        effects_.emplace_back(links_probed{reach_.round(now_)});
+    }
+    if (!changed) {
         return;
     }
     // What failed was not the targets.
     for (auto& [id, target] : targets_) {
         target.forgive(now_);
     }
+    cut_off_since_ = reach_.cut_off() ? std::optional(now_) : std::nullopt;
     effects_.emplace_back(links_changed{reach_.cut_off()});
     if (reach_.cut_off()) {
         move_running_to_relays(); // the next report names the hosts that carry them
@@ -52,14 +58,10 @@
 void traffic::move_running_to_relays()
 {
     for (auto& [id, request] : requests_) {
-        if (!request.target || !request.route->idempotent || request.relayed ||
-            request.attempts >= request.max_attempts ||
-            !retry_limiter_.take(request.service, hosts_in_total_, now_)) {
-            continue;
+        if (request.target && !request.relayed &&
+            withdraw_to_send_again(request, withdrawal::cut_off)) {
+            queues_[request.service].push_back(id);
         }
-        abandon_send(request, false);
-        request.may_have_run = true;
-        queues_[request.service].push_back(id);
     }
 }
 
@@ -72,6 +74,12 @@
            std::any_of(config.workspaces.begin(), config.workspaces.end(), elsewhere);
 }
 
+/** @return whether the host that relays the request, if another one does, is shutting down. */
+bool traffic::relaying_host_stops(pending_request const& request) const
+{
+    return request.relayed && stopping_hosts_.contains(request.relayed_by);
+}
+
 bool traffic::wants_relay(pending_request const& request) const
 {
     constexpr double range = 18446744073709551616.0; // 2^64
@@ -144,7 +152,9 @@
     if (may_have_run) {
         request.attempts = request.max_attempts; // the other host may have used all of them
     }
-    if (now_ < request.expires && choose_relay(request) != nullptr) {
+    // What may have run cannot be refused as not run, so it takes every chance to be answered.
+    bool const may_begin = request.may_have_run || ends_before_stop(request);
+    if (now_ < request.expires && may_begin && choose_relay(request) != nullptr) {
         relay(request);
     }
     else if (event.end == relay_end::refused && !request.may_have_run) {
