--- a/src/traffic/reach_monitor.h
+++ b/src/traffic/reach_monitor.h
@@ -13,7 +13,7 @@
 struct probe_round {
     std::size_t probes = 0;
     std::size_t reached = 0;
-    std::size_t timed_out = 0;           ///< the rest was refused
+    std::size_t timed_out = 0;           ///< the rest was refused or failed
     std::optional<milliseconds> answer;  ///< age of the last answer of a target, if there was one
     std::optional<milliseconds> receipt; ///< age of the last bytes from a target, if any came
 };
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -594,8 +594,8 @@
 }
 
 /**
- * Withdraws a running request that is sent again. No other function withdraws one that may still be
- * answered. @return whether it was withdrawn.
+ * Withdraws a running request that is sent again; the only function to do that before its time is
+ * over. @return whether it was withdrawn.
  */
 bool traffic::withdraw_to_send_again(pending_request& request, withdrawal reason)
 {
