--- a/src/host/listener_limits.cpp
+++ b/src/host/listener_limits.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr std::uint64_t reserved_descriptors = 200; ///< for files and connections to other hosts
-constexpr std::uint64_t relay_divisor = 4;          ///< of the descriptors
-constexpr std::uint64_t lookup_divisor = 16;        ///< of the descriptors
-constexpr std::uint64_t operator_divisor = 64;      ///< of the descriptors
+constexpr std::uint64_t relay_divisor = 4;          ///< descriptors per connection
+constexpr std::uint64_t lookup_divisor = 16;        ///< descriptors per connection
+constexpr std::uint64_t operator_divisor = 64;      ///< descriptors per connection
 constexpr std::uint64_t min_connections = 8;        ///< at any address but that for clients
 
 std::size_t part_of(std::uint64_t descriptors, std::uint64_t divisor)
