Decide pushes and pulls of the store's data apart from the event loop

What an entry host sends to its peers of the store's data, and what it asks them for, was decided inside entry_host, so that it could only be tested with hosts on sockets in real time. The new class replication holds these decisions: it takes events and returns messages as data, as host_view does.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -51,9 +51,6 @@
 constexpr milliseconds exit_check_interval{20};
 /// Room in the head of a relayed request for the fields that the other host adds.
 constexpr std::uint32_t relay_header_bytes = 1024;
-/// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
-/// well.
-constexpr double bulk_answer_bytes_per_second = 400'000;
 /// Part of the memory that buffers may take, less what the process needs itself.
 constexpr std::uint64_t buffer_memory_divisor = 2;
 constexpr std::uint64_t min_buffer_divisor = 8; ///< buffers get at least this part of the memory
@@ -182,7 +179,7 @@
           node_id(settings_.name), settings_.ip, settings_.key_withdrawal_max, random_seed(), log_,
           {[this](std::string const& ip, host_message const& message) { transmit({ip}, message); },
            [this] { config_follower_.watch_without_wait(); }}),
-      view_(self_report(settings_), random_seed()),
+      view_(self_report(settings_), random_seed()), replication_(settings_.ip, view_, copies()),
       transport_(loop, settings_.peer_port,
                  [this](std::string const& bytes) { on_message(bytes); }),
       store_(observe_reachability(connect_store(hooks()))),
@@ -190,8 +187,7 @@
       target_follower_(timers, store_.targets, random_seed()),
       evacuation_follower_(timers, store_.evacuations, random_seed()),
       signals_(loop, SIGTERM, SIGINT, SIGHUP), targets_(settings_.heartbeat, settings_.drain),
-      bulk_answers_(bulk_answer_bytes_per_second), random_(random_seed()),
-      shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
+      random_(random_seed()), shares_(settings_.regions, settings_.shift_cap, read_clocks().mono),
       started_(read_clocks().mono), quota_division_(node_id(settings_.name))
 {
     timers_.on_delay([this](microseconds delay) { report_delay(delay); });
@@ -225,7 +221,7 @@
     out.config = [this](config_document const& document) {
         freshness_.store_has(document.config.version);
         if (on_config(document, deflate_text(document.text), "store")) {
-            push_config();
+            send(replication_.config_from_store(read_clocks().mono));
         }
     };
     out.targets_listed = [this](target_snapshot const& list) { apply(list, "store"); };
@@ -239,7 +235,7 @@
                                      store_position at) {
         if (evacuations_.change(changes, at)) {
             forwarder_.set_evacuations(evacuations_.zones());
-            push_evacuations();
+            send(replication_.evacuations_from_store(read_clocks().mono));
         }
     };
     out.era_began = [this](store_era era) { enter_era(era, "store"); };
@@ -256,6 +252,28 @@
     return out;
 }
 
+/** @return access to this host's copies, for its peers. */
+replica_access entry_host::copies()
+{
+    replica_access out;
+    out.versions = [this] { return versions(); };
+    out.config = [this] { return config_; };
+    out.targets = [this]() -> std::optional<target_snapshot> {
+        if (!targets_known_) {
+            return std::nullopt;
+        }
+        return target_snapshot{targets_.listed_entries(), targets_.position(),
+                               targets_.held(read_clocks().mono)};
+    };
+    out.evacuations = [this] {
+        return evacuation_snapshot{evacuations_.listed(), evacuations_.position()};
+    };
+    out.log = [this](std::string const& name, log_fields fields) {
+        log_.event(name, std::move(fields), read_clocks().mono);
+    };
+    return out;
+}
+
 /**
  * Logs when the store becomes unreachable or reachable again; in the latter case, the list of
  * targets starts its grace period.
@@ -609,6 +627,11 @@
     return config_ && targets_known_;
 }
 
+replica_role entry_host::role() const
+{
+    return {ready(), follows_store_, store_lost()};
+}
+
 known_versions entry_host::versions() const
 {
     return {config_ ? config_->version : generation{}, targets_.position(),
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -6,14 +6,12 @@
 
 #include "directory/lookup.h"
 #include "directory/remote_quotas.h"
-#include "follow/lag_detector.h"
 #include "host/host_freshness.h"
 #include "host/host_settings.h"
 #include "host/request_forwarder.h"
 #include "host/store_calls.h"
-#include "peer/byte_budget.h"
-#include "peer/host_view.h"
 #include "peer/loop_transport.h"
+#include "peer/replication.h"
 #include "traffic/evacuation_list.h"
 #include "traffic/target_list.h"
 
@@ -71,8 +69,6 @@
     void stop_process(std::string const& reason);
 
     bool on_config(config_document const& document, std::string packed, std::string const& source);
-    void push_config();
-    void push_config_to_lagging();
     void on_message(std::string const& bytes);
     void on(gossip const& message);
     void on(pull_request const& message);
@@ -85,10 +81,8 @@
     void repeat_crashes(mono_time now);
     bool apply(target_changes const& message, std::string const& source);
     bool apply(packed_config const& received);
-    void relay_config(packed_config const& config, std::vector<std::string> const& receivers);
     void apply(target_snapshot const& list, std::string const& source);
     bool apply(evacuation_snapshot const& list);
-    void push_evacuations();
     void expire_held_entries(mono_time now);
     void push_to_zone(host_message const& message);
     void transmit(std::vector<std::string> const& ips, host_message const& message);
@@ -96,13 +90,13 @@
 
     void tick();
     void send(host_effects const& effects);
-    [[nodiscard]] bool pulls_for_zone(mono_time now) const;
-    void pull_if_behind(mono_time now);
     void report_peers(mono_time now);
     void update_zone_shares(mono_time now);
     [[nodiscard]] local_host_state state() const;
     [[nodiscard]] bool store_lost() const;
     [[nodiscard]] bool ready() const;
+    [[nodiscard]] replica_role role() const;
+    replica_access copies();
     [[nodiscard]] known_versions versions() const;
     void update_serving_hosts(mono_time now);
     [[nodiscard]] std::vector<remote_quota> remote_quotas(mono_time now) const;
@@ -131,6 +125,7 @@
     http_server metrics_;
     host_freshness freshness_;
     host_view view_;
+    replication replication_;
     loop_transport transport_;
     store_calls store_;
     follower config_follower_;
@@ -144,8 +139,6 @@
     bool registered_ = false;             ///< the store has, or had, the address of this host
     bool host_call_pending_ = false;      ///< a call on addresses of hosts; there is one at a time
     std::optional<packed_config> config_; ///< the active configuration
-    bool config_push_pending_ = false;
-    byte_budget bulk_answers_;
     random_engine random_;
     std::vector<crash_record> crashes_to_report_; ///< gathered for one message
     mono_time next_crash_repeat_{};
@@ -159,7 +152,6 @@
     std::vector<node_id> zone_serving_; ///< serving hosts of this zone
     quota_division quota_division_;
     std::set<node_id> stopping_hosts_; ///< as last reported to the forwarder
-    lag_detector lag_;
     /// This host is one of those that watch the store; the others get changes from them.
     bool follows_store_ = false;
     bool leaving_ = false;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -3,7 +3,6 @@
 #include "host/entry_host.h"
 
 #include "core/deflate_func.h"
-#include "peer/relay_tree.h"
 
 #include <array>
 
@@ -11,20 +10,10 @@
 
 namespace {
 
-/// How long a change may be missing before it is pulled from a peer; the host's own watch usually
-/// delivers it sooner.
-constexpr milliseconds zone_pull_delay{600};
 /// When the hosts of a zone start together, each has received reports from the others within this
 /// time. Before that, each of them would use the whole allowed rate of a cold target: 25 requests
 /// in one second were sent that way after the loss of a region.
 constexpr milliseconds discovery_time{3000};
-/// A change that a whole zone misses is pulled from another zone by the hosts that follow the
-/// store, at once by the speaker if it has lost the store; the other hosts wait this long, so that
-/// they can get it inside the zone instead.
-constexpr milliseconds cross_zone_pull_delay{2000};
-
-/// Time that a configuration takes from the first follower of a zone to all hosts of the zone.
-constexpr milliseconds standby_push_delay{500};
 /// A target that ends breaks all its requests at once; one message tells of all of them.
 constexpr milliseconds crash_report_delay{10};
 /// Repeats reach hosts that missed a report: one host each time, with the worst records.
@@ -32,15 +21,6 @@
 constexpr std::size_t repeated_crash_records = 32; ///< 4 KB
 
 constexpr std::size_t max_config_bytes = 16U << 20U; ///< the store limits an object to less
-constexpr std::size_t target_entry_bytes = 100;      ///< of an encoded entry, about
-
-/** @return about the size of the encoded @p answer. */
-std::size_t size_of(host_snapshot const& answer)
-{
-    return (answer.config ? answer.config->bytes.size() : 0) +
-           (answer.targets ? answer.targets->entries.size() * target_entry_bytes : 0);
-}
-
 /** @return era and revision, for the log. */
 std::string to_text(store_position position)
 {
@@ -88,7 +68,7 @@
     monitor_.measure("send_reports", [&] { send(view_.tick(state(), now)); });
     report_peers(now);
     update_store_following(now);
-    pull_if_behind(now);
+    send(replication_.tick(role(), now));
     freshness_.tick(view_, follows_store_, forwarder_.admission().has_workspaces(), now);
     repeat_crashes(now);
 }
@@ -176,36 +156,6 @@
     return out;
 }
 
-/** @return whether this host gets changes from other zones for a zone without the store. */
-bool entry_host::pulls_for_zone(mono_time now) const
-{
-    return store_lost() && view_.is_speaker(now);
-}
-
-/** Pulls from a peer what neither this host's watches nor pushes have delivered in time. */
-void entry_host::pull_if_behind(mono_time now)
-{
-    known_versions const own = versions();
-    auto const source = view_.choose_pull_source(own, now);
-    if (!source) {
-        lag_.up_to_date();
-        return;
-    }
-    milliseconds pull_delay = ready() ? zone_pull_delay : milliseconds{0};
-    if (source->in_other_zone && pulls_for_zone(now)) {
-        pull_delay = milliseconds{0};
-    }
-    else if (source->in_other_zone && !follows_store_) {
-        pull_delay = cross_zone_pull_delay;
-    }
-    known_versions const& newest = source->versions;
-    if (lag_.should_pull(own, newest, pull_delay, now)) {
-        transmit({source->ip},
-                 pull_request{settings_.ip, newest.config > own.config,
-                              newest.targets > own.targets, newest.evacuations > own.evacuations});
-    }
-}
-
 void entry_host::on_message(std::string const& bytes)
 {
     auto const message = decode_host_message(bytes, "entry host", era_);
@@ -295,39 +245,23 @@
 
 void entry_host::on(pull_request const& message)
 {
-    host_snapshot answer;
-    if (message.config) {
-        answer.config = config_;
-    }
-    if (message.targets && targets_known_) {
-        answer.targets = target_snapshot{targets_.listed_entries(), targets_.position(),
-                                         targets_.held(read_clocks().mono)};
-    }
-    if (message.evacuations) {
-        answer.evacuations = evacuation_snapshot{evacuations_.listed(), evacuations_.position()};
-    }
-    // The peer pulls again, perhaps from another host, if it gets no answer.
-    if (!bulk_answers_.take(size_of(answer), read_clocks().mono)) {
-        log_.event("pull_not_answered", {{"peer", message.sender_ip}}, read_clocks().mono);
-        return;
-    }
-    transmit({message.sender_ip}, answer);
+    send(replication_.on(message, read_clocks().mono));
 }
 
 void entry_host::on(host_snapshot const& message)
 {
-    bool const passes_on = pulls_for_zone(read_clocks().mono);
+    mono_time const now = read_clocks().mono;
     if (message.config) {
-        relay_config(*message.config, message.relay_to);
-        if (apply(*message.config) && passes_on) {
-            push_config_to_lagging();
+        send(replication_.relay(message)); // before the configuration is decoded
+        if (apply(*message.config)) {
+            send(replication_.config_from_peer(role(), now));
         }
     }
     if (message.targets) {
         apply(*message.targets, "peer");
     }
-    if (message.evacuations && apply(*message.evacuations) && passes_on) {
-        push_evacuations();
+    if (message.evacuations && apply(*message.evacuations)) {
+        send(replication_.evacuations_from_peer(role(), now));
     }
 }
 
@@ -349,39 +283,6 @@
     return on_config(*document, received.bytes, "peer");
 }
 
-/** Sends @p config to @p receivers, a few of which pass it on to the others. */
-void entry_host::relay_config(packed_config const& config,
-                              std::vector<std::string> const& receivers)
-{
-    for (relay_branch& branch : divide_for_relay(receivers)) {
-        transmit({branch.receiver}, host_snapshot{config, {}, {}, std::move(branch.relay_to)});
-    }
-}
-
-/**
- * Sends a new configuration of the store to the zone. Of the hosts that follow the store, the first
- * one sends it to all others; the next one waits and sends it to those that still lack it.
- */
-void entry_host::push_config()
-{
-    mono_time const now = read_clocks().mono;
-    if (view_.follows_store(1, now)) {
-        push_config_to_lagging();
-    }
-    else if (!config_push_pending_) {
-        config_push_pending_ = true;
-        timers_.once(now + standby_push_delay + view_.zone_round(), [this] {
-            config_push_pending_ = false;
-            push_config_to_lagging();
-        });
-    }
-}
-
-void entry_host::push_config_to_lagging()
-{
-    relay_config(*config_, view_.zone_peer_ips_before(config_->version, read_clocks().mono));
-}
-
 /** @param source for the log. */
 void entry_host::apply(target_snapshot const& list, std::string const& source)
 {
@@ -416,12 +317,6 @@
     return true;
 }
 
-void entry_host::push_evacuations()
-{
-    push_to_zone(host_snapshot{
-        {}, {}, evacuation_snapshot{evacuations_.listed(), evacuations_.position()}, {}});
-}
-
 /** Ends the periods for which entries were kept although the store does not list them. */
 void entry_host::expire_held_entries(mono_time now)
 {
