Tell late delivery, late decoding and an older version at a decision apart in the log

Where a host got a configuration from, how long it waited there and what the host had heard of it before could not be read from the log: `config_in_force` named a version and `store` or `peer`. The line now tells push from pull, the sending host, the bytes, the time spent on decoding, the newest version that any message had named until then, how long ago that was, and in which message. A request whose route is unknown gets a line with the same facts, and two gauges show the newest version heard of and the age of the active one. Messages with copies of the store's data name their sender and whether they answer a pull.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -194,6 +194,7 @@
     forwarder_.attach(clients_, relays_);
     forwarder_.limit(quotas_);
     forwarder_.set_freshness([this] { return freshness_.fresh(); });
+    forwarder_.set_config_description([this] { return describe_config(); });
     clients_.share_memory(answers_);
     relays_.share_memory(answers_);
     for (http_server* const each : {&readiness_, &directory_, &metrics_}) {
@@ -220,7 +221,9 @@
     store_hooks out;
     out.config = [this](config_document const& document) {
         freshness_.store_has(document.config.version);
-        if (on_config(document, deflate_text(document.text), "store")) {
+        mono_time const now = read_clocks().mono;
+        heard_configs_.hear(document.config.version, "store", now);
+        if (on_config(document, deflate_text(document.text), {"store", "", now})) {
             send(replication_.config_from_store(read_clocks().mono));
         }
     };
@@ -590,11 +593,10 @@
 /**
  * Activates a configuration unless it is older than the active one.
  * @param packed its text in zlib format.
- * @param source for the log.
  * @return whether it was activated.
  */
 bool entry_host::on_config(config_document const& document, std::string packed,
-                           std::string const& source)
+                           config_delivery const& delivery)
 {
     routing_config const& config = document.config;
     if (config_ && config.version <= config_->version) {
@@ -614,11 +616,18 @@
     forwarder_.set_config(config);
     quotas_.set_config(config, read_clocks().mono);
     freshness_.config_applied(config.version);
+    config_activated_ = read_clocks().mono;
     log_.event("config_in_force",
                {{"version", std::to_string(config.version.value)},
                 {"routes", std::to_string(config.routes.size())},
-                {"source", source}},
-               read_clocks().mono);
+                {"source", delivery.source},
+                {"peer", delivery.peer},
+                {"bytes", std::to_string(config_->bytes.size())},
+                {"decode_ms", to_text_ms(config_activated_ - delivery.received)},
+                {"newest_heard", std::to_string(heard_configs_.newest().value)},
+                {"heard_ms", std::to_string(heard_configs_.age(config_activated_).count())},
+                {"heard_from", heard_configs_.source()}},
+               config_activated_);
     return true;
 }
 
@@ -627,6 +636,16 @@
     return config_ && targets_known_;
 }
 
+log_fields entry_host::describe_config() const
+{
+    mono_time const now = read_clocks().mono;
+    return {{"version", std::to_string(config_ ? config_->version.value : 0)},
+            {"version_age_ms", to_text_ms(now - config_activated_)},
+            {"newest_heard", std::to_string(heard_configs_.newest().value)},
+            {"heard_ms", std::to_string(heard_configs_.age(now).count())},
+            {"heard_from", heard_configs_.source()}};
+}
+
 replica_role entry_host::role() const
 {
     return {ready(), follows_store_, store_lost()};
@@ -749,6 +768,10 @@
         out += "# TYPE cove_" + name + " gauge\ncove_" + name + " " + std::to_string(value) + "\n";
     };
     gauge("config_version", known.config.value);
+    gauge("config_version_heard", heard_configs_.newest().value);
+    gauge("config_age_ms",
+          static_cast<std::uint64_t>(
+              std::chrono::duration_cast<milliseconds>(now - config_activated_).count()));
     gauge("targets_revision", known.targets.at.value);
     gauge("evacuations_revision", known.evacuations.at.value);
     gauge("store_era", era_.value);
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -12,6 +12,7 @@
 #include "host/store_calls.h"
 #include "peer/loop_transport.h"
 #include "peer/replication.h"
+#include "peer/version_trace.h"
 #include "traffic/evacuation_list.h"
 #include "traffic/target_list.h"
 
@@ -37,6 +38,13 @@
         lookup_body;
 };
 
+/** How a configuration came to this host. */
+struct config_delivery {
+    std::string source; ///< for the log
+    std::string peer;   ///< IP of the host that sent it; empty: the store did
+    mono_time received{};
+};
+
 /** Reads and parses the settings again. */
 using settings_source = std::function<result<host_settings>()>;
 
@@ -68,7 +76,8 @@
     void finish_leaving();
     void stop_process(std::string const& reason);
 
-    bool on_config(config_document const& document, std::string packed, std::string const& source);
+    bool on_config(config_document const& document, std::string packed,
+                   config_delivery const& delivery);
     void on_message(std::string const& bytes);
     void on(gossip const& message);
     void on(pull_request const& message);
@@ -80,7 +89,7 @@
     void spread_crashes(std::vector<crash_record> const& records);
     void repeat_crashes(mono_time now);
     bool apply(target_changes const& message, std::string const& source);
-    bool apply(packed_config const& received);
+    bool apply(packed_config const& received, config_delivery const& delivery);
     void apply(target_snapshot const& list, std::string const& source);
     bool apply(evacuation_snapshot const& list);
     void expire_held_entries(mono_time now);
@@ -96,6 +105,7 @@
     [[nodiscard]] bool store_lost() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] replica_role role() const;
+    [[nodiscard]] log_fields describe_config() const;
     replica_access copies();
     [[nodiscard]] known_versions versions() const;
     void update_serving_hosts(mono_time now);
@@ -139,6 +149,8 @@
     bool registered_ = false;             ///< the store has, or had, the address of this host
     bool host_call_pending_ = false;      ///< a call on addresses of hosts; there is one at a time
     std::optional<packed_config> config_; ///< the active configuration
+    mono_time config_activated_{};
+    version_trace heard_configs_;
     random_engine random_;
     std::vector<crash_record> crashes_to_report_; ///< gathered for one message
     mono_time next_crash_repeat_{};
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -165,6 +165,10 @@
         return;
     }
     enter_era(latest_era(*message), "peer");
+    if (generation const named = newest_config(*message); named > heard_configs_.newest()) {
+        heard_configs_.hear(named, std::string(kind_of(*message)) + " " + sender_of(*message),
+                            read_clocks().mono);
+    }
     monitor_.measure(kind_of(*message),
                      [&] { std::visit([this](auto const& body) { on(body); }, *message); });
 }
@@ -253,7 +257,8 @@
     mono_time const now = read_clocks().mono;
     if (message.config) {
         send(replication_.relay(message)); // before the configuration is decoded
-        if (apply(*message.config)) {
+        std::string const source = message.answer ? "pull" : "push";
+        if (apply(*message.config, {source, message.sender_ip, now})) {
             send(replication_.config_from_peer(role(), now));
         }
     }
@@ -269,7 +274,7 @@
  * Activates a configuration that a peer sent, unless it is older than the active one.
  * @return whether it was activated.
  */
-bool entry_host::apply(packed_config const& received)
+bool entry_host::apply(packed_config const& received, config_delivery const& delivery)
 {
     if (config_ && received.version <= config_->version) {
         return false;
@@ -280,7 +285,7 @@
                    read_clocks().mono);
         return false;
     }
-    return on_config(*document, received.bytes, "peer");
+    return on_config(*document, received.bytes, delivery);
 }
 
 /** @param source for the log. */
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -319,6 +319,7 @@
     std::string const target = to_std_string(request.target());
     auto const route = routes_->find(to_std_string(request[http::field::host]), path_of(target));
     if (!route) {
+        log_unknown_route(request, relayed);
         respond(*open.server, open.call, http::status::not_found, milliseconds{0});
         return;
     }
@@ -368,6 +369,15 @@
     feed(event);
 }
 
+void request_forwarder::log_unknown_route(http_request const& request, bool relayed)
+{
+    log_fields fields{{"request", to_std_string(request[names_.attempt_id])},
+                      {"relayed", relayed ? "1" : "0"}};
+    log_fields const config = describe_config_();
+    fields.insert(fields.end(), config.begin(), config.end());
+    log_.event("route_unknown", std::move(fields), read_clocks().mono);
+}
+
 /**
  * @return the body of a request, counted while it exists. One that may run twice ends when its
  * memory is needed, as if its client had left; any other goes on.
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -81,6 +81,12 @@
     void on_relayed_request(call_id call, http_request request);
     void on_relay_disconnected(call_id call);
 
+    /** @param describe names the active configuration and the newest one heard of, for the log. */
+    void set_config_description(std::function<log_fields()> describe)
+    {
+        describe_config_ = std::move(describe);
+    }
+
     /** @param fresh whether the configuration is new enough for decisions on access keys. */
     void set_freshness(std::function<bool()> fresh) { admission_.set_freshness(std::move(fresh)); }
     [[nodiscard]] request_admission const& admission() const { return admission_; }
@@ -170,6 +176,7 @@
     void execute(links_changed const& effect);
     std::optional<int> take_attempts_left(http_request& request);
     void accept(request_id id, open_request open, bool relayed);
+    void log_unknown_route(http_request const& request, bool relayed);
     std::shared_ptr<std::string> keep_body(open_request const& open, std::string body);
     void on_disconnected(request_id id);
     void drop(request_id id, bool unsent);
@@ -209,6 +216,7 @@
     target_connection_pool relay_pool_; ///< connections to other hosts, by their address
     request_admission admission_;
     weighted_round_robin round_robin_;
+    std::function<log_fields()> describe_config_ = [] { return log_fields(); };
     std::unique_ptr<route_table> routes_;
     std::unordered_map<request_id, open_request> open_;
     std::vector<request_id> departed_; ///< found without client when they were to be sent
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -243,6 +243,8 @@
     for (std::string const& ip : message.relay_to) {
         body->add_relay_to(ip);
     }
+    body->set_sender_ip(message.sender_ip);
+    body->set_answer(message.answer);
     body->set_has_targets(message.targets.has_value());
     if (message.targets) {
         body->set_targets_era(message.targets->at.era.value);
@@ -368,6 +370,8 @@
         message.config = packed_config{generation(in.config_version()), in.packed_config()};
     }
     message.relay_to = {in.relay_to().begin(), in.relay_to().end()};
+    message.sender_ip = in.sender_ip();
+    message.answer = in.answer();
     if (in.has_targets()) {
         target_snapshot targets{{}, {store_era(in.targets_era()), revision(in.targets_revision())}};
         for (wire::ListedTarget const& record : in.targets()) {
@@ -472,6 +476,41 @@
     return message;
 }
 
+generation newest_config(host_message const& message)
+{
+    generation newest;
+    if (auto const* const reports = std::get_if<gossip>(&message)) {
+        for (host_report const& report : reports->reports) {
+            newest = std::max(newest, report.versions.config);
+        }
+        for (zone_status const& zone : reports->zones) {
+            newest = std::max(newest, zone.versions.config);
+        }
+    }
+    else if (auto const* const snapshot = std::get_if<host_snapshot>(&message)) {
+        newest = snapshot->config ? snapshot->config->version : newest;
+    }
+    else if (auto const* const answer = std::get_if<freshness_answer>(&message)) {
+        newest = answer->version;
+    }
+    return newest;
+}
+
+std::string const& sender_of(host_message const& message)
+{
+    static std::string const unknown;
+    return std::visit(
+        [](auto const& body) -> std::string const& {
+            if constexpr (requires { body.sender_ip; }) {
+                return body.sender_ip;
+            }
+            else {
+                return unknown;
+            }
+        },
+        message);
+}
+
 store_era latest_era(host_message const& message)
 {
     store_era latest;
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -127,6 +127,8 @@
     std::optional<target_snapshot> targets;
     std::optional<evacuation_snapshot> evacuations;
     std::vector<std::string> relay_to; ///< IPs to which the receiver passes the configuration on
+    std::string sender_ip = {};
+    bool answer = false; ///< to a pull; otherwise pushed
 };
 
 /** Ordered changes of the list of targets, for hosts whose list is at `from` or later. */
@@ -170,6 +172,12 @@
 result<host_message> decode_host_message(std::string const& bytes, std::string const& peer,
                                          store_era era = {});
 
+/** @return the newest version of the configuration that @p message names; 0 if it names none. */
+generation newest_config(host_message const& message);
+
+/** @return the IP of the host that sent @p message; empty if it does not say. */
+std::string const& sender_of(host_message const& message);
+
 /** @return the latest era of the store that @p message names. */
 store_era latest_era(host_message const& message);
 
--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -28,12 +28,13 @@
 }
 
 /** @return the messages that send @p config to @p receivers, a few of which pass it on. */
-host_effects relay_config(packed_config const& config, std::vector<std::string> const& receivers)
+host_effects relay_config(packed_config const& config, std::vector<std::string> const& receivers,
+                          std::string const& own_ip)
 {
     host_effects out;
     for (relay_branch& branch : divide_for_relay(receivers)) {
         out.push_back(
-            {{branch.receiver}, host_snapshot{config, {}, {}, std::move(branch.relay_to)}});
+            {{branch.receiver}, host_snapshot{config, {}, {}, std::move(branch.relay_to), own_ip}});
     }
     return out;
 }
@@ -90,6 +91,8 @@
 host_effects replication::on(pull_request const& message, mono_time now)
 {
     host_snapshot answer;
+    answer.sender_ip = ip_;
+    answer.answer = true;
     if (message.config) {
         answer.config = copies_.config();
     }
@@ -109,7 +112,7 @@
 
 host_effects replication::relay(host_snapshot const& message) const
 {
-    return message.config ? relay_config(*message.config, message.relay_to) : host_effects();
+    return message.config ? relay_config(*message.config, message.relay_to, ip_) : host_effects();
 }
 
 /**
@@ -135,13 +138,13 @@
 host_effects replication::push_config_to_lagging(mono_time now) const
 {
     auto const config = copies_.config();
-    return config ? relay_config(*config, view_.zone_peer_ips_before(config->version, now))
+    return config ? relay_config(*config, view_.zone_peer_ips_before(config->version, now), ip_)
                   : host_effects();
 }
 
 host_effects replication::evacuations_from_store(mono_time now)
 {
-    return {{view_.zone_peer_ips(now), host_snapshot{{}, {}, copies_.evacuations(), {}}}};
+    return {{view_.zone_peer_ips(now), host_snapshot{{}, {}, copies_.evacuations(), {}, ip_}}};
 }
 
 host_effects replication::evacuations_from_peer(replica_role const& role, mono_time now)
