Do not let configurations and evacuations wait for lists of targets

Callers saw requests handled as only the configuration before allows, also outside their home region, in zones whose followers of the store heard nothing. One pull asked for the configuration, the list of targets and the evacuations, and was answered whole or not at all, within 400 kB/s: a configuration of some KB waited for lists of 100 KB and more, and whoever got no answer asked again a second later, perhaps the same host.

Pulls for the list were sent without need, too: the position of a copy rises each time that the store is asked, so that a zone without the store lagged behind all others though nothing had changed. Hosts now report the position of the last change. Configuration and evacuations are pulled apart from the list and go before it in the limit on answers. A list that lags by a few changes is answered with these changes. A pull that is refused is told so and goes to another host at once.

--- a/src/follow/lag_detector.cpp
+++ b/src/follow/lag_detector.cpp
@@ -2,12 +2,6 @@
 
 namespace cove {
 
-namespace {
-
-constexpr milliseconds min_pull_interval{1000}; ///< a response that takes longer is lost
-
-} // namespace
-
 bool lag_detector::should_pull(known_versions const& own, known_versions const& newest,
                                milliseconds pull_delay, mono_time now)
 {
@@ -21,7 +15,7 @@
     }
     // Targets change all the time; a configuration must not wait for the pulls that they cause.
     bool const answer_may_come =
-        now - last_pull_ < min_pull_interval && newest.config <= pulled_config_;
+        now - last_pull_ < min_pull_interval_ && newest.config <= pulled_config_;
     if (now - missing_since_ < pull_delay || answer_may_come) {
         return false;
     }
--- a/src/follow/lag_detector.h
+++ b/src/follow/lag_detector.h
@@ -15,6 +15,12 @@
  */
 class lag_detector {
 public:
+    /** @param min_pull_interval between pulls; an answer that takes longer is lost. */
+    explicit lag_detector(milliseconds min_pull_interval = default_min_pull_interval)
+        : min_pull_interval_(min_pull_interval)
+    {
+    }
+
     /**
      * @param own versions of this host.
      * @param newest newest versions that any peer reports.
@@ -28,7 +34,19 @@
     /** Tells that no peer has newer data. */
     void up_to_date() { missing_versions_.reset(); }
 
+    /** Tells that the last pull will not be answered. */
+    void not_answered() { last_pull_ = {}; }
+
+    /** @return since when a change has been missing, if one is. */
+    [[nodiscard]] std::optional<mono_time> missing_since() const
+    {
+        return missing_versions_ ? std::optional(missing_since_) : std::nullopt;
+    }
+
+    static constexpr milliseconds default_min_pull_interval{1000};
+
 private:
+    milliseconds min_pull_interval_;
     std::optional<known_versions> missing_versions_; ///< versions that a peer had at missing_since_
     mono_time missing_since_{};
     mono_time last_pull_{};
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -179,7 +179,8 @@
           node_id(settings_.name), settings_.ip, settings_.key_withdrawal_max, random_seed(), log_,
           {[this](std::string const& ip, host_message const& message) { transmit({ip}, message); },
            [this] { config_follower_.watch_without_wait(); }}),
-      view_(self_report(settings_), random_seed()), replication_(settings_.ip, view_, copies()),
+      view_(self_report(settings_), random_seed()),
+      replication_(settings_.ip, view_, copies(), random_seed()),
       transport_(loop, settings_.peer_port,
                  [this](std::string const& bytes) { on_message(bytes); }),
       store_(observe_reachability(connect_store(hooks()))),
@@ -227,18 +228,26 @@
             send(replication_.config_from_store(read_clocks().mono));
         }
     };
-    out.targets_listed = [this](target_snapshot const& list) { apply(list, "store"); };
+    out.targets_listed = [this](target_snapshot const& list) {
+        if (apply(list, "store")) {
+            replication_.targets_listed(list.at);
+        }
+    };
     out.targets_changed = [this](target_changes const& changes) {
         if (apply(changes, "store")) {
-            push_to_zone(changes);
+            send(replication_.targets_from_store(changes, read_clocks().mono));
+        }
+    };
+    out.evacuations_listed = [this](evacuation_snapshot const& list) {
+        if (apply(list)) {
+            replication_.evacuations_listed(list.at);
         }
     };
-    out.evacuations_listed = [this](evacuation_snapshot const& list) { apply(list); };
     out.evacuations_changed = [this](std::vector<std::pair<zone_id, bool>> const& changes,
                                      store_position at) {
         if (evacuations_.change(changes, at)) {
             forwarder_.set_evacuations(evacuations_.zones());
-            send(replication_.evacuations_from_store(read_clocks().mono));
+            send(replication_.evacuations_from_store(!changes.empty(), read_clocks().mono));
         }
     };
     out.era_began = [this](store_era era) { enter_era(era, "store"); };
@@ -668,7 +677,7 @@
     local_host_state own;
     own.leaving = leaving_;
     own.ready = ready();
-    own.versions = versions();
+    own.versions = replication_.reported_versions();
     own.store_lost = store_lost();
     own.cut_off = forwarder_.cut_off();
     own.stale_config = forwarder_.admission().has_workspaces() && !freshness_.fresh();
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -81,6 +81,7 @@
     void on_message(std::string const& bytes);
     void on(gossip const& message);
     void on(pull_request const& message);
+    void on(pull_refused const& message);
     void on(host_snapshot const& message);
     void on(target_changes const& message);
     void on(crash_report const& message);
@@ -90,7 +91,7 @@
     void repeat_crashes(mono_time now);
     bool apply(target_changes const& message, std::string const& source);
     bool apply(packed_config const& received, config_delivery const& delivery);
-    void apply(target_snapshot const& list, std::string const& source);
+    bool apply(target_snapshot const& list, std::string const& source);
     bool apply(evacuation_snapshot const& list);
     void expire_held_entries(mono_time now);
     void push_to_zone(host_message const& message);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -30,8 +30,8 @@
 char const* kind_of(host_message const& message)
 {
     constexpr std::array<char const*, std::variant_size_v<host_message>> kinds{
-        "gossip",       "pull_request",    "snapshot",        "target_changes",
-        "crash_report", "freshness_query", "freshness_answer"};
+        "gossip",       "pull_request",    "snapshot",         "target_changes",
+        "crash_report", "freshness_query", "freshness_answer", "pull_refused"};
     return kinds.at(message.index());
 }
 
@@ -252,6 +252,11 @@
     send(replication_.on(message, read_clocks().mono));
 }
 
+void entry_host::on(pull_refused const& message)
+{
+    send(replication_.on(message, role(), read_clocks().mono));
+}
+
 void entry_host::on(host_snapshot const& message)
 {
     mono_time const now = read_clocks().mono;
@@ -262,11 +267,11 @@
             send(replication_.config_from_peer(role(), now));
         }
     }
-    if (message.targets) {
-        apply(*message.targets, "peer");
+    if (message.targets && apply(*message.targets, "peer")) {
+        replication_.targets_from_peer(message);
     }
     if (message.evacuations && apply(*message.evacuations)) {
-        send(replication_.evacuations_from_peer(role(), now));
+        send(replication_.evacuations_from_peer(message, role(), now));
     }
 }
 
@@ -288,8 +293,11 @@
     return on_config(*document, received.bytes, delivery);
 }
 
-/** @param source for the log. */
-void entry_host::apply(target_snapshot const& list, std::string const& source)
+/**
+ * @param source for the log.
+ * @return whether the list was taken; not if it is old.
+ */
+bool entry_host::apply(target_snapshot const& list, std::string const& source)
 {
     mono_time const now = read_clocks().mono;
     bool const old = list.at < targets_.position() || list.at.era < era_;
@@ -300,7 +308,7 @@
                 {"source", source}},
                now);
     if (old) {
-        return;
+        return false;
     }
     targets_known_ = true;
     bool const changed = targets_.replace(list.entries, list.at, now);
@@ -310,15 +318,18 @@
     if (changed) {
         forwarder_.set_targets(targets_.entries());
     }
+    return true;
 }
 
-/** @return whether an evacuation has begun or ended. */
+/** @return whether the list was taken; not if it is old. */
 bool entry_host::apply(evacuation_snapshot const& list)
 {
-    if (list.at.era < era_ || !evacuations_.replace(list.zones, list.at, read_clocks().mono)) {
+    if (list.at.era < era_ || list.at < evacuations_.position()) {
         return false;
     }
-    forwarder_.set_evacuations(evacuations_.zones());
+    if (evacuations_.replace(list.zones, list.at, read_clocks().mono)) {
+        forwarder_.set_evacuations(evacuations_.zones());
+    }
     return true;
 }
 
@@ -362,7 +373,9 @@
 
 void entry_host::on(target_changes const& message)
 {
-    apply(message, "peer");
+    if (apply(message, "peer")) {
+        replication_.targets_from_peer(message);
+    }
 }
 
 void entry_host::forward_changes(targets_changed const& changes)
--- a/src/peer/byte_budget.cpp
+++ b/src/peer/byte_budget.cpp
@@ -4,11 +4,26 @@
 
 namespace cove {
 
-bool byte_budget::take(std::size_t bytes, mono_time now)
+void byte_budget::refill(mono_time now)
 {
     double const seconds = std::chrono::duration<double>(now - refilled_).count();
     left_ = std::min(bytes_per_second_, left_ + seconds * bytes_per_second_);
     refilled_ = now;
+}
+
+bool byte_budget::take_urgent(std::size_t bytes, mono_time now)
+{
+    refill(now);
+    if (left_ < -bytes_per_second_) {
+        return false;
+    }
+    left_ -= static_cast<double>(bytes);
+    return true;
+}
+
+bool byte_budget::take(std::size_t bytes, mono_time now)
+{
+    refill(now);
     auto const size = static_cast<double>(bytes);
     if (left_ < std::min(size, bytes_per_second_)) {
         return false;
--- a/src/peer/byte_budget.h
+++ b/src/peer/byte_budget.h
@@ -18,7 +18,15 @@
     /** Takes @p bytes if the budget allows it. @return whether it does. */
     bool take(std::size_t bytes, mono_time now);
 
+    /**
+     * Takes @p bytes of a message that goes before others: it may leave the budget in debt by what
+     * one second allows.
+     */
+    bool take_urgent(std::size_t bytes, mono_time now);
+
 private:
+    void refill(mono_time now);
+
     double bytes_per_second_; ///< also the size of the bucket
     double left_;             ///< below 0 after a message larger than the bucket
     mono_time refilled_{};
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -548,36 +548,26 @@
     return out;
 }
 
-std::optional<pull_source> host_view::choose_pull_source(known_versions const& own, mono_time now)
-{
-    std::vector<pull_source> sources;
-    known_versions newest = own;
-    auto const consider = [&](std::string const& ip, known_versions const& versions, bool remote) {
-        if (!own.covers(versions)) {
-            newest.merge(versions);
-            sources.push_back({ip, versions, remote});
-        }
-    };
+std::vector<pull_source> host_view::reported_copies(mono_time now) const
+{
+    std::vector<pull_source> out;
     for (host_report const* const host : zone_hosts(now)) {
-        consider(host->ip, host->versions, false);
+        out.push_back({host->ip, host->versions, false});
     }
-    if (sources.empty()) {
-        for (auto const& [name, zone] : remote_zones_) {
-            if (is_alive(zone, now)) {
-                consider(zone.status.ip, zone.status.versions, true);
-            }
+    for (auto const& [name, zone] : remote_zones_) {
+        if (is_alive(zone, now)) {
+            out.push_back({zone.status.ip, zone.status.versions, true});
         }
     }
-    auto const is_newest = [&newest](pull_source const& source) {
-        return source.versions.covers(newest);
-    };
-    if (std::any_of(sources.begin(), sources.end(), is_newest)) {
-        std::erase_if(sources, [&](pull_source const& source) { return !is_newest(source); });
-    }
-    if (sources.empty()) {
-        return std::nullopt;
-    }
-    return sources[random_below(random_, sources.size())];
+    return out;
+}
+
+int host_view::rank_in_zone(mono_time now) const
+{
+    return static_cast<int>(
+        std::count_if(zone_peers_.begin(), zone_peers_.end(), [this, now](auto const& item) {
+            return item.first < self_.name && is_alive(item.second, now);
+        }));
 }
 
 std::vector<std::string> host_view::zone_peer_ips_before(generation version, mono_time now) const
--- a/src/peer/host_view.h
+++ b/src/peer/host_view.h
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "core/time_type.h"
 #include "peer/peer_message.h"
+#include "peer/pull_choice.h"
 
 #include <map>
 
@@ -58,13 +59,6 @@
     mono_time heard{};            ///< when it was last announced
 };
 
-/** A host from which newer versions of the store's data can be pulled. */
-struct pull_source {
-    std::string ip;
-    known_versions versions;
-    bool in_other_zone = false;
-};
-
 /** State of this host that goes into its next report. */
 struct local_host_state {
     bool leaving = false;
@@ -163,11 +157,13 @@
                                                                 mono_time now) const;
 
     /**
-     * @return a host that has newer data than @p own, of this zone if there is one. It is drawn at
-     * random among those with the newest data, so that they share the pulls of a zone.
+     * @return the live hosts of this zone, this one first, and the speakers of the other live
+     * zones, with the versions that they have reported; a speaker reports those of its whole zone.
      */
-    [[nodiscard]] std::optional<pull_source> choose_pull_source(known_versions const& own,
-                                                                mono_time now);
+    [[nodiscard]] std::vector<pull_source> reported_copies(mono_time now) const;
+
+    /** @return how many live hosts of this zone precede this one by name. */
+    [[nodiscard]] int rank_in_zone(mono_time now) const;
 
     /** @return the time in which each zone peer gets at least one report of this host. */
     [[nodiscard]] milliseconds zone_round() const
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -231,6 +231,14 @@
     body->set_config(message.config);
     body->set_targets(message.targets);
     body->set_evacuations(message.evacuations);
+    body->set_targets_era(message.targets_at.era.value);
+    body->set_targets_revision(message.targets_at.at.value);
+}
+
+void write(wire::HostEnvelope& out, pull_refused const& message)
+{
+    out.mutable_pull_refused()->set_sender_ip(message.sender_ip);
+    out.mutable_pull_refused()->set_targets(message.kind == pull_kind::targets);
 }
 
 void write(wire::HostEnvelope& out, host_snapshot const& message)
@@ -249,6 +257,8 @@
     if (message.targets) {
         body->set_targets_era(message.targets->at.era.value);
         body->set_targets_revision(message.targets->at.at.value);
+        body->set_targets_changed_era(message.targets->changed_at.era.value);
+        body->set_targets_changed_revision(message.targets->changed_at.at.value);
         std::map<target_id, milliseconds> held;
         for (held_target const& each : message.targets->held) {
             held[each.id] = each.left;
@@ -265,6 +275,8 @@
     if (message.evacuations) {
         body->set_evacuations_era(message.evacuations->at.era.value);
         body->set_evacuations_revision(message.evacuations->at.at.value);
+        body->set_evacuations_changed_era(message.evacuations->changed_at.era.value);
+        body->set_evacuations_changed_revision(message.evacuations->changed_at.at.value);
         for (zone_id const& zone : message.evacuations->zones) {
             body->add_evacuations(zone.value);
         }
@@ -380,6 +392,8 @@
                 targets.held.push_back({target_id(record.id()), milliseconds(record.held_ms())});
             }
         }
+        targets.changed_at = {store_era(in.targets_changed_era()),
+                              revision(in.targets_changed_revision())};
         message.targets = std::move(targets);
     }
     if (in.has_evacuations()) {
@@ -388,6 +402,8 @@
         for (std::string const& zone : in.evacuations()) {
             evacuations.zones.emplace(zone);
         }
+        evacuations.changed_at = {store_era(in.evacuations_changed_era()),
+                                  revision(in.evacuations_changed_revision())};
         message.evacuations = std::move(evacuations);
     }
     return message;
@@ -412,15 +428,20 @@
     else if (auto* const snapshot = std::get_if<host_snapshot>(&message)) {
         if (snapshot->targets) {
             visit(snapshot->targets->at);
+            visit(snapshot->targets->changed_at);
         }
         if (snapshot->evacuations) {
             visit(snapshot->evacuations->at);
+            visit(snapshot->evacuations->changed_at);
         }
     }
     else if (auto* const changes = std::get_if<target_changes>(&message)) {
         visit(changes->from);
         visit(changes->to);
     }
+    else if (auto* const pull = std::get_if<pull_request>(&message)) {
+        visit(pull->targets_at);
+    }
 }
 
 result<host_message> read(wire::HostEnvelope const& envelope, std::string const& peer)
@@ -429,8 +450,12 @@
     case wire::HostEnvelope::kGossip:
         return host_message(read(envelope.gossip()));
     case wire::HostEnvelope::kPull:
-        return host_message(pull_request{envelope.pull().sender_ip(), envelope.pull().config(),
-                                         envelope.pull().targets(), envelope.pull().evacuations()});
+        return host_message(pull_request{envelope.pull().sender_ip(),
+                                         envelope.pull().config(),
+                                         envelope.pull().targets(),
+                                         envelope.pull().evacuations(),
+                                         {store_era(envelope.pull().targets_era()),
+                                          revision(envelope.pull().targets_revision())}});
     case wire::HostEnvelope::kSnapshot:
         return host_message(read(envelope.snapshot()));
     case wire::HostEnvelope::kTargetChanges:
@@ -445,6 +470,10 @@
             freshness_answer{envelope.freshness_answer().nonce(),
                              milliseconds(envelope.freshness_answer().offset_ms()),
                              generation(envelope.freshness_answer().config_version())});
+    case wire::HostEnvelope::kPullRefused:
+        return host_message(pull_refused{envelope.pull_refused().sender_ip(),
+                                         envelope.pull_refused().targets() ? pull_kind::targets
+                                                                           : pull_kind::decisions});
     default:
         return fail("peer.decode", peer, "entry host message without a known body");
     }
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "core/ids_type.h"
 #include "follow/known_versions_type.h"
+#include "peer/pull_choice.h"
 #include "traffic/crash_type.h"
 #include "traffic/target_type.h"
 
@@ -100,6 +101,13 @@
     bool config = false;
     bool targets = false;
     bool evacuations = false;
+    store_position targets_at = {}; ///< of the sender's list of targets
+};
+
+/** A pull was not answered; its sender should ask another host. */
+struct pull_refused {
+    std::string sender_ip;
+    pull_kind kind = pull_kind::decisions;
 };
 
 /** The complete list of targets at a position of the store. */
@@ -107,12 +115,14 @@
     std::vector<target_entry> entries;
     store_position at;
     std::vector<held_target> held = {}; ///< of the entries, those that the store does not list
+    store_position changed_at = {};     ///< of the last change; zero: not known
 };
 
 /** The evacuated zones at a position of the store. */
 struct evacuation_snapshot {
     std::set<zone_id> zones;
     store_position at;
+    store_position changed_at = {}; ///< of the last change; zero: not known
 };
 
 /** A configuration, compressed because it is sent to every host. */
@@ -159,7 +169,7 @@
 };
 
 using host_message = std::variant<gossip, pull_request, host_snapshot, target_changes, crash_report,
-                                  freshness_query, freshness_answer>;
+                                  freshness_query, freshness_answer, pull_refused>;
 
 /** @return the serialized @p message. */
 std::string encode_host_message(host_message const& message);
--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -2,31 +2,49 @@
 
 #include "peer/relay_tree.h"
 
+#include <algorithm>
+
 namespace cove {
 
 namespace {
 
-/// How long a change may be missing before it is pulled from a peer; the host's own watch usually
-/// delivers it sooner.
+/// How long a change may be missing that another host of the zone has, before it is pulled from
+/// there; a push usually delivers it sooner.
 constexpr milliseconds zone_pull_delay{600};
 /// A change that a whole zone misses is pulled from another zone by the hosts that follow the
 /// store, at once by the speaker if it has lost the store; the other hosts wait this long, so that
 /// they can get it inside the zone instead.
 constexpr milliseconds cross_zone_pull_delay{2000};
+/// A pull of small data is repeated, at another host, when its answer has not come in this time.
+constexpr milliseconds decisions_pull_interval{500};
 /// Time that a configuration takes from the first follower of a zone to all hosts of the zone.
 constexpr milliseconds standby_push_delay{500};
+/// A host that has refused a pull is not asked again for this long.
+constexpr milliseconds refusal_period{1000};
 /// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
 /// well.
 constexpr double bulk_answer_bytes_per_second = 400'000;
 constexpr std::size_t target_entry_bytes = 100; ///< of an encoded entry, about
+constexpr std::size_t message_bytes = 100;      ///< of an encoded message without its data, about
 
 /** @return about the size of the encoded @p answer. */
 std::size_t size_of(host_snapshot const& answer)
 {
-    return (answer.config ? answer.config->bytes.size() : 0) +
+    return message_bytes + (answer.config ? answer.config->bytes.size() : 0) +
            (answer.targets ? answer.targets->entries.size() * target_entry_bytes : 0);
 }
 
+std::size_t size_of(target_changes const& answer)
+{
+    return message_bytes + answer.changes.size() * target_entry_bytes;
+}
+
+/** @return @p changed_at, or @p at if the sender did not tell it. */
+store_position known_or(store_position changed_at, store_position at)
+{
+    return changed_at.at == revision{} ? at : changed_at;
+}
+
 /** @return the messages that send @p config to @p receivers, a few of which pass it on. */
 host_effects relay_config(packed_config const& config, std::vector<std::string> const& receivers,
                           std::string const& own_ip)
@@ -41,8 +59,9 @@
 
 } // namespace
 
-replication::replication(std::string ip, host_view& view, replica_access copies)
+replication::replication(std::string ip, host_view& view, replica_access copies, std::uint64_t seed)
     : ip_(std::move(ip)), view_(view), copies_(std::move(copies)),
+      random_(seed), decisions_{lag_detector(decisions_pull_interval), {}},
       bulk_answers_(bulk_answer_bytes_per_second)
 {
 }
@@ -50,11 +69,14 @@
 host_effects replication::tick(replica_role const& role, mono_time now)
 {
     host_effects out;
+    std::erase_if(refused_at_,
+                  [now](auto const& item) { return now - item.second >= refusal_period; });
     if (standby_push_due_ && now >= *standby_push_due_) {
         standby_push_due_.reset();
-        out = push_config_to_lagging(now);
+        push_config_to_lagging(out, now);
     }
-    pull_if_behind(out, role, now);
+    pull_if_behind(out, pull_kind::decisions, role, now);
+    pull_if_behind(out, pull_kind::targets, role, now);
     return out;
 }
 
@@ -64,50 +86,118 @@
     return role.store_lost && view_.is_speaker(now);
 }
 
+known_versions replication::reported_versions() const
+{
+    return {copies_.versions().config, targets_log_.changed_at(), evacuations_changed_};
+}
+
+/** @return the hosts that have told of their versions, with those of @p kind. */
+std::vector<pull_source> replication::sources(pull_kind kind, mono_time now) const
+{
+    std::vector<pull_source> out = view_.reported_copies(now);
+    for (pull_source& source : out) {
+        source.changes = only(kind, source.changes);
+    }
+    return out;
+}
+
+milliseconds replication::pull_delay(pull_source const& source, replica_role const& role,
+                                     mono_time now) const
+{
+    if (!role.ready || (source.in_other_zone && pulls_for_zone(role, now))) {
+        return milliseconds{0};
+    }
+    return source.in_other_zone && !role.follows_store ? cross_zone_pull_delay : zone_pull_delay;
+}
+
 /** Pulls from a peer what neither this host's watches nor pushes have delivered in time. */
-void replication::pull_if_behind(host_effects& out, replica_role const& role, mono_time now)
+void replication::pull_if_behind(host_effects& out, pull_kind kind, replica_role const& role,
+                                 mono_time now)
 {
-    known_versions const own = copies_.versions();
-    auto const source = view_.choose_pull_source(own, now);
-    if (!source) {
-        lag_.up_to_date();
+    pull_state& state = state_of(kind);
+    known_versions const all = copies_.versions();
+    known_versions const own = only(kind, all);
+    std::vector<pull_source> usable = sources(kind, now);
+    std::erase_if(usable, [&own](pull_source const& each) { return own.covers(each.changes); });
+    if (usable.empty()) {
+        state.lag.up_to_date();
         return;
     }
-    milliseconds pull_delay = role.ready ? zone_pull_delay : milliseconds{0};
-    if (source->in_other_zone && pulls_for_zone(role, now)) {
-        pull_delay = milliseconds{0};
-    }
-    else if (source->in_other_zone && !role.follows_store) {
-        pull_delay = cross_zone_pull_delay;
+    std::erase_if(usable,
+                  [this](pull_source const& each) { return refused_at_.contains(each.ip); });
+    auto const source = choose_pull_source(std::move(usable), own, random_);
+    if (!source) {
+        return; // all of them have refused a moment ago
     }
-    known_versions const& newest = source->versions;
-    if (lag_.should_pull(own, newest, pull_delay, now)) {
-        out.push_back({{source->ip},
-                       pull_request{ip_, newest.config > own.config, newest.targets > own.targets,
-                                    newest.evacuations > own.evacuations}});
+    known_versions const& newest = source->changes;
+    if (!state.lag.should_pull(own, newest, pull_delay(*source, role, now), now)) {
+        return;
     }
+    state.asked = source->ip;
+    out.push_back({{source->ip},
+                   pull_request{ip_, newest.config > own.config, newest.targets > own.targets,
+                                newest.evacuations > own.evacuations, all.targets}});
 }
 
 host_effects replication::on(pull_request const& message, mono_time now)
 {
-    host_snapshot answer;
-    answer.sender_ip = ip_;
-    answer.answer = true;
-    if (message.config) {
-        answer.config = copies_.config();
+    host_effects out;
+    auto const refuse = [&](pull_kind kind) {
+        copies_.log("pull_refused",
+                    {{"peer", message.sender_ip},
+                     {"kind", kind == pull_kind::targets ? "targets" : "decisions"}});
+        out.push_back({{message.sender_ip}, pull_refused{ip_, kind}});
+    };
+    if (message.config || message.evacuations) {
+        host_snapshot answer;
+        answer.sender_ip = ip_;
+        answer.answer = true;
+        if (message.config) {
+            answer.config = copies_.config();
+        }
+        if (message.evacuations) {
+            answer.evacuations = copies_.evacuations();
+            answer.evacuations->changed_at = evacuations_changed_;
+        }
+        if (bulk_answers_.take_urgent(size_of(answer), now)) {
+            out.push_back({{message.sender_ip}, std::move(answer)});
+        }
+        else {
+            refuse(pull_kind::decisions);
+        }
     }
-    if (message.targets) {
-        answer.targets = copies_.targets();
+    if (!message.targets) {
+        return out;
     }
-    if (message.evacuations) {
-        answer.evacuations = copies_.evacuations();
+    auto const changes = targets_log_.since(message.targets_at, copies_.versions().targets);
+    if (changes && bulk_answers_.take_urgent(size_of(*changes), now)) {
+        out.push_back({{message.sender_ip}, *changes});
+        return out;
     }
-    // The peer pulls again, perhaps from another host, if it gets no answer.
-    if (!bulk_answers_.take(size_of(answer), now)) {
-        copies_.log("pull_not_answered", {{"peer", message.sender_ip}});
-        return {};
+    host_snapshot answer{{}, copies_.targets(), {}, {}, ip_, true};
+    if (answer.targets) {
+        answer.targets->changed_at = targets_log_.changed_at();
     }
-    return {{{message.sender_ip}, std::move(answer)}};
+    if (bulk_answers_.take(size_of(answer), now)) {
+        out.push_back({{message.sender_ip}, std::move(answer)});
+    }
+    else {
+        refuse(pull_kind::targets);
+    }
+    return out;
+}
+
+host_effects replication::on(pull_refused const& message, replica_role const& role, mono_time now)
+{
+    host_effects out;
+    pull_state& state = state_of(message.kind);
+    if (message.sender_ip != state.asked) {
+        return out;
+    }
+    refused_at_[message.sender_ip] = now;
+    state.lag.not_answered();
+    pull_if_behind(out, message.kind, role, now);
+    return out;
 }
 
 host_effects replication::relay(host_snapshot const& message) const
@@ -121,35 +211,86 @@
  */
 host_effects replication::config_from_store(mono_time now)
 {
+    host_effects out;
     if (view_.follows_store(1, now)) {
-        return push_config_to_lagging(now);
+        push_config_to_lagging(out, now);
     }
-    if (!standby_push_due_) {
+    else if (!standby_push_due_) {
         standby_push_due_ = now + standby_push_delay + view_.zone_round();
     }
-    return {};
+    return out;
 }
 
 host_effects replication::config_from_peer(replica_role const& role, mono_time now)
 {
-    return pulls_for_zone(role, now) ? push_config_to_lagging(now) : host_effects();
+    host_effects out;
+    if (pulls_for_zone(role, now)) {
+        push_config_to_lagging(out, now);
+    }
+    return out;
 }
 
-host_effects replication::push_config_to_lagging(mono_time now) const
+void replication::push_config_to_lagging(host_effects& out, mono_time now) const
 {
     auto const config = copies_.config();
-    return config ? relay_config(*config, view_.zone_peer_ips_before(config->version, now), ip_)
-                  : host_effects();
+    if (!config) {
+        return;
+    }
+    auto const receivers = view_.zone_peer_ips_before(config->version, now);
+    for (outgoing_host_message& copy : relay_config(*config, receivers, ip_)) {
+        out.push_back(std::move(copy));
+    }
+}
+
+host_effects replication::evacuations_from_store(bool changed, mono_time now)
+{
+    host_effects out;
+    evacuation_snapshot evacuations = copies_.evacuations();
+    if (changed) {
+        evacuations_changed_ = evacuations.at;
+    }
+    evacuations.changed_at = evacuations_changed_;
+    out.push_back(
+        {view_.zone_peer_ips(now), host_snapshot{{}, {}, std::move(evacuations), {}, ip_}});
+    return out;
+}
+
+host_effects replication::evacuations_from_peer(host_snapshot const& message,
+                                                replica_role const& role, mono_time now)
+{
+    evacuation_snapshot const& got = *message.evacuations;
+    store_position const changed = known_or(got.changed_at, got.at);
+    bool const news = changed > evacuations_changed_;
+    evacuations_changed_ = std::max(evacuations_changed_, changed);
+    host_effects out;
+    if (news && pulls_for_zone(role, now)) {
+        out = evacuations_from_store(false, now);
+    }
+    return out;
 }
 
-host_effects replication::evacuations_from_store(mono_time now)
+/** @return @p changes for all lists that have the last change before them, whatever their position.
+ */
+target_changes replication::widen(target_changes const& changes) const
 {
-    return {{view_.zone_peer_ips(now), host_snapshot{{}, {}, copies_.evacuations(), {}, ip_}}};
+    target_changes out = changes;
+    if (targets_log_.changed_at().era == out.from.era) {
+        out.from = std::min(out.from, targets_log_.changed_at());
+    }
+    return out;
+}
+
+host_effects replication::targets_from_store(target_changes const& changes, mono_time now)
+{
+    host_effects out;
+    out.push_back({view_.zone_peer_ips(now), widen(changes)});
+    targets_log_.add(changes);
+    return out;
 }
 
-host_effects replication::evacuations_from_peer(replica_role const& role, mono_time now)
+void replication::targets_from_peer(host_snapshot const& message)
 {
-    return pulls_for_zone(role, now) ? evacuations_from_store(now) : host_effects();
+    targets_log_.restart(known_or(message.targets->changed_at, message.targets->at));
 }
 
 } // namespace cove
--- a/src/peer/replication.h
+++ b/src/peer/replication.h
@@ -4,15 +4,16 @@
 #include "follow/lag_detector.h"
 #include "log/log_func.h"
 #include "peer/byte_budget.h"
+#include "peer/change_log.h"
 #include "peer/host_view.h"
 
 #include <functional>
 
 namespace cove {
 
-/** Reads this host's copies of the store's data. */
+/** Access to this host's copies of the store's data. */
 struct replica_access {
-    std::function<known_versions()> versions;
+    std::function<known_versions()> versions;                ///< positions of the copies
     std::function<std::optional<packed_config>()> config;    ///< nothing if there is none yet
     std::function<std::optional<target_snapshot>()> targets; ///< nothing if there is no list yet
     std::function<evacuation_snapshot()> evacuations;
@@ -36,39 +37,78 @@
  */
 class replication {
 public:
-    /** @param ip of this host. @param view of this host, which outlives the object. */
-    replication(std::string ip, host_view& view, replica_access copies);
+    /** @param view of this host, which outlives the object. */
+    replication(std::string ip, host_view& view, replica_access copies, std::uint64_t seed);
 
     /** Sends what is due. Call every host_view::tick_interval, after host_view::tick(). */
     host_effects tick(replica_role const& role, mono_time now);
 
-    /** @return the answer to a pull, if the limit on answers allows it. */
+    /** @return the answer to a pull, or its refusal if the limit on answers is reached. */
     host_effects on(pull_request const& message, mono_time now);
 
+    /** Pulls from another host what the sender has refused. */
+    host_effects on(pull_refused const& message, replica_role const& role, mono_time now);
+
     /** @return the copies of a received configuration that this host is to pass on. */
     [[nodiscard]] host_effects relay(host_snapshot const& message) const;
 
     /** The store has delivered the configuration that is now active. */
     host_effects config_from_store(mono_time now);
 
-    /** A peer has delivered the configuration that is now active. */
+    /** The store has delivered changes, perhaps none, which were applied to the evacuations. */
+    host_effects evacuations_from_store(bool changed, mono_time now);
+
+    /** The store has delivered changes, perhaps none, which were applied to the list of targets. */
+    host_effects targets_from_store(target_changes const& changes, mono_time now);
+
+    /** The store has delivered whole lists, which have replaced those of this host. */
+    void targets_listed(store_position at) { targets_log_.restart(at); }
+    void evacuations_listed(store_position at) { evacuations_changed_ = at; }
+
+    /** The configuration in @p message is now active. */
     host_effects config_from_peer(replica_role const& role, mono_time now);
 
-    /** The store has delivered evacuations that differ from those before. */
-    host_effects evacuations_from_store(mono_time now);
+    /** The evacuations in @p message have replaced those of this host. */
+    host_effects evacuations_from_peer(host_snapshot const& message, replica_role const& role,
+                                       mono_time now);
+
+    /** The list of targets in @p message has replaced that of this host. */
+    void targets_from_peer(host_snapshot const& message);
+
+    /** The changes in @p message were applied to the list of targets. */
+    void targets_from_peer(target_changes const& message) { targets_log_.add(message); }
 
-    /** A peer has delivered evacuations that differ from those before. */
-    host_effects evacuations_from_peer(replica_role const& role, mono_time now);
+    /** @return the versions that this host reports: the positions of the last changes. */
+    [[nodiscard]] known_versions reported_versions() const;
 
 private:
+    /** Pulls of one kind. */
+    struct pull_state {
+        lag_detector lag;
+        std::string asked; ///< IP of the host that was asked last
+    };
+
+    void pull_if_behind(host_effects& out, pull_kind kind, replica_role const& role, mono_time now);
+    [[nodiscard]] std::vector<pull_source> sources(pull_kind kind, mono_time now) const;
+    [[nodiscard]] milliseconds pull_delay(pull_source const& source, replica_role const& role,
+                                          mono_time now) const;
+    [[nodiscard]] pull_state& state_of(pull_kind kind)
+    {
+        return kind == pull_kind::targets ? targets_ : decisions_;
+    }
+    [[nodiscard]] target_changes widen(target_changes const& changes) const;
     [[nodiscard]] bool pulls_for_zone(replica_role const& role, mono_time now) const;
-    void pull_if_behind(host_effects& out, replica_role const& role, mono_time now);
-    [[nodiscard]] host_effects push_config_to_lagging(mono_time now) const;
+    void push_config_to_lagging(host_effects& out, mono_time now) const;
 
     std::string ip_;
     host_view& view_;
     replica_access copies_;
-    lag_detector lag_;
+    random_engine random_;
+    pull_state decisions_;
+    pull_state targets_;
+    change_log targets_log_;
+    store_position evacuations_changed_;
+    std::map<std::string, mono_time> refused_at_; ///< by IP of the host that refused a pull
     byte_budget bulk_answers_;
     std::optional<mono_time> standby_push_due_; ///< of the configuration, by a second follower
 };
--- a/tests/peer/replication_fleet.h
+++ b/tests/peer/replication_fleet.h
@@ -32,7 +32,7 @@
     replica_host(std::string const& name, replica_traits traits, replica_model const& model,
                  std::uint64_t seed)
         : traits_(std::move(traits)), model_(model), view_(self_report(name, traits_.zone), seed),
-          replication_("ip-" + name, view_, access())
+          replication_("ip-" + name, view_, access(), seed)
     {
     }
 
@@ -54,9 +54,14 @@
             return replication_.on(*pull, now);
         }
         if (auto const* const changes = std::get_if<target_changes>(&message)) {
-            apply(*changes);
+            if (apply(*changes)) {
+                replication_.targets_from_peer(*changes);
+            }
             return {};
         }
+        if (auto const* const refused = std::get_if<pull_refused>(&message)) {
+            return replication_.on(*refused, role(now), now);
+        }
         if (auto const* const snapshot = std::get_if<host_snapshot>(&message)) {
             return on(*snapshot, now);
         }
@@ -73,7 +78,7 @@
     host_effects targets_from_store(store_position at, mono_time now)
     {
         target_changes const changes{versions_.targets, at, {{target_id("t"), std::nullopt}}};
-        return apply(changes) ? host_effects{{view_.zone_peer_ips(now), changes}} : host_effects();
+        return apply(changes) ? replication_.targets_from_store(changes, now) : host_effects();
     }
 
     /** The store delivers a change of the evacuations. */
@@ -84,12 +89,14 @@
         }
         versions_.evacuations = at;
         evacuations_at_ = now;
-        return replication_.evacuations_from_store(now);
+        return replication_.evacuations_from_store(true, now);
     }
 
     void start_with(known_versions const& versions)
     {
         versions_ = versions;
+        replication_.targets_listed(versions.targets);
+        replication_.evacuations_listed(versions.evacuations);
         targets_.entries.resize(model_.targets);
         for (std::size_t i = 0; i < targets_.entries.size(); ++i) {
             target_entry& entry = targets_.entries[i];
@@ -159,8 +166,8 @@
     [[nodiscard]] bool store_lost(mono_time now) const
     {
         bool const leads = view_.follows_store(1, now);
-        return traits_.blind && view_.follows_store(2, now) &&
-               now - blind_since_ >= (leads ? model_.leader_notice : model_.standby_notice);
+        milliseconds const notice = leads ? model_.leader_notice : model_.standby_notice;
+        return traits_.blind && view_.follows_store(2, now) && now - blind_since_ >= notice;
     }
 
     [[nodiscard]] replica_role role(mono_time now) const
@@ -172,7 +179,7 @@
     {
         local_host_state own;
         own.ready = true;
-        own.versions = versions_;
+        own.versions = replication_.reported_versions();
         own.store_lost = store_lost(now);
         return own;
     }
@@ -184,12 +191,15 @@
             append(out, replication_.config_from_peer(role(now), now));
         }
         if (message.targets) {
-            versions_.targets = std::max(versions_.targets, message.targets->at);
+            if (message.targets->at >= versions_.targets) {
+                versions_.targets = message.targets->at;
+                replication_.targets_from_peer(message);
+            }
         }
         if (message.evacuations && message.evacuations->at > versions_.evacuations) {
             versions_.evacuations = message.evacuations->at;
             evacuations_at_ = now;
-            append(out, replication_.evacuations_from_peer(role(now), now));
+            append(out, replication_.evacuations_from_peer(message, role(now), now));
         }
         return out;
     }
--- a/tests/peer/spread_test.cpp
+++ b/tests/peer/spread_test.cpp
@@ -74,14 +74,15 @@
     known_versions own;
     own.config = generation(1);
     std::map<std::string, int> pulls;
+    random_engine random(1);
     for (int i = 0; i < draws; ++i) {
-        ++pulls[view.choose_pull_source(own, now)->ip];
+        ++pulls[choose_pull_source(view.reported_copies(now), own, random)->ip];
     }
     EXPECT_EQ(pulls.size(), 2U);
     EXPECT_GT(pulls["ip-h1"], draws / 4);
     EXPECT_GT(pulls["ip-h3"], draws / 4);
     own.config = generation(3);
-    EXPECT_FALSE(view.choose_pull_source(own, now));
+    EXPECT_FALSE(choose_pull_source(view.reported_copies(now), own, random));
     EXPECT_EQ(view.zone_peer_ips_before(generation(3), now),
               (std::vector<std::string>{"ip-h2", "ip-h4"}));
 }
