Tell other zones of each change at once and serve the own zone by whoever has it

Callers saw requests handled as only the configuration before allows while a zone's two followers of the store heard nothing from it. Such a zone heard of a change by the next status of another zone (up to 0.5 s), pulled it 0.6 s later, and did not pass it on unless its speaker knew that its store was lost, which takes up to 4.65 s (the second follower 11 s): each of its hosts learned of it by reports (0.75 s) and pulled in turn (0.6 s more).

A host that follows the store now tells one host of every other zone of a change at once, and that host tells its zone (change_notice, about 100 bytes). Whoever hears of a configuration, evacuations or leaving targets and does not get them pulls them, the first host of the zone by name after 0.3 s, each further one 0.25 s later, and pushes what comes from another zone to its own. A pushing host tells the zone before it sends the text, so that hosts behind a slow host in the tree pull from it. The second follower pushes after 0.3 s without a notice of the first one. A follower that has to pull asks the store again, over a new connection, instead of waiting for the bound on silence.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -180,7 +180,7 @@
           {[this](std::string const& ip, host_message const& message) { transmit({ip}, message); },
            [this] { config_follower_.watch_without_wait(); }}),
       view_(self_report(settings_), random_seed()),
-      replication_(settings_.ip, view_, copies(), random_seed()),
+      replication_(settings_.ip, zone_id(settings_.zone), view_, copies(), random_seed()),
       transport_(loop, settings_.peer_port,
                  [this](std::string const& bytes) { on_message(bytes); }),
       store_(observe_reachability(connect_store(hooks()))),
@@ -280,6 +280,7 @@
     out.evacuations = [this] {
         return evacuation_snapshot{evacuations_.listed(), evacuations_.position()};
     };
+    out.doubt_store = [this](pull_kind kind) { doubt_store(kind); };
     out.log = [this](std::string const& name, log_fields fields) {
         log_.event(name, std::move(fields), read_clocks().mono);
     };
@@ -356,6 +357,19 @@
     return {};
 }
 
+/** Asks the store at once, over new connections, for data that peers have and this host lacks. */
+void entry_host::doubt_store(pull_kind kind)
+{
+    log_.event("store_doubted", {{"kind", kind == pull_kind::targets ? "targets" : "decisions"}},
+               read_clocks().mono);
+    if (kind == pull_kind::targets) {
+        target_follower_.watch_without_wait();
+        return;
+    }
+    config_follower_.watch_without_wait();
+    evacuation_follower_.watch_without_wait();
+}
+
 /** Lets only a few hosts of each zone follow the store, because each call to it is charged. */
 void entry_host::update_store_following(mono_time now)
 {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -62,6 +62,7 @@
 private:
     store_hooks hooks();
     store_calls observe_reachability(store_calls calls);
+    void doubt_store(pull_kind kind);
     void update_store_following(mono_time now);
     void enter_era(store_era era, std::string const& source);
     void register_self(int failures);
@@ -82,6 +83,7 @@
     void on(gossip const& message);
     void on(pull_request const& message);
     void on(pull_refused const& message);
+    void on(change_notice const& message);
     void on(host_snapshot const& message);
     void on(target_changes const& message);
     void on(crash_report const& message);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -30,8 +30,8 @@
 char const* kind_of(host_message const& message)
 {
     constexpr std::array<char const*, std::variant_size_v<host_message>> kinds{
-        "gossip",       "pull_request",    "snapshot",         "target_changes",
-        "crash_report", "freshness_query", "freshness_answer", "pull_refused"};
+        "gossip",          "pull_request",     "snapshot",     "target_changes", "crash_report",
+        "freshness_query", "freshness_answer", "pull_refused", "change_notice"};
     return kinds.at(message.index());
 }
 
@@ -257,6 +257,11 @@
     send(replication_.on(message, role(), read_clocks().mono));
 }
 
+void entry_host::on(change_notice const& message)
+{
+    send(replication_.on(message, read_clocks().mono));
+}
+
 void entry_host::on(host_snapshot const& message)
 {
     mono_time const now = read_clocks().mono;
@@ -264,14 +269,14 @@
         send(replication_.relay(message)); // before the configuration is decoded
         std::string const source = message.answer ? "pull" : "push";
         if (apply(*message.config, {source, message.sender_ip, now})) {
-            send(replication_.config_from_peer(role(), now));
+            send(replication_.config_from_peer(message, now));
         }
     }
     if (message.targets && apply(*message.targets, "peer")) {
         replication_.targets_from_peer(message);
     }
     if (message.evacuations && apply(*message.evacuations)) {
-        send(replication_.evacuations_from_peer(message, role(), now));
+        send(replication_.evacuations_from_peer(message, now));
     }
 }
 
@@ -374,7 +379,7 @@
 void entry_host::on(target_changes const& message)
 {
     if (apply(message, "peer")) {
-        replication_.targets_from_peer(message);
+        send(replication_.targets_from_peer(message, read_clocks().mono));
     }
 }
 
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -241,6 +241,15 @@
     out.mutable_pull_refused()->set_targets(message.kind == pull_kind::targets);
 }
 
+void write(wire::HostEnvelope& out, change_notice const& message)
+{
+    auto* const body = out.mutable_change_notice();
+    body->set_sender_ip(message.sender_ip);
+    body->set_zone(message.zone.value);
+    write_versions(*body, message.changes);
+    body->set_pass_on(message.pass_on);
+}
+
 void write(wire::HostEnvelope& out, host_snapshot const& message)
 {
     auto* const body = out.mutable_snapshot();
@@ -442,6 +451,9 @@
     else if (auto* const pull = std::get_if<pull_request>(&message)) {
         visit(pull->targets_at);
     }
+    else if (auto* const notice = std::get_if<change_notice>(&message)) {
+        visit_versions(notice->changes);
+    }
 }
 
 result<host_message> read(wire::HostEnvelope const& envelope, std::string const& peer)
@@ -474,6 +486,10 @@
         return host_message(pull_refused{envelope.pull_refused().sender_ip(),
                                          envelope.pull_refused().targets() ? pull_kind::targets
                                                                            : pull_kind::decisions});
+    case wire::HostEnvelope::kChangeNotice:
+        return host_message(change_notice{
+            envelope.change_notice().sender_ip(), zone_id(envelope.change_notice().zone()),
+            read_versions(envelope.change_notice()), envelope.change_notice().pass_on()});
     default:
         return fail("peer.decode", peer, "entry host message without a known body");
     }
@@ -522,6 +538,9 @@
     else if (auto const* const answer = std::get_if<freshness_answer>(&message)) {
         newest = answer->version;
     }
+    else if (auto const* const notice = std::get_if<change_notice>(&message)) {
+        newest = notice->changes.config;
+    }
     return newest;
 }
 
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -110,6 +110,14 @@
     pull_kind kind = pull_kind::decisions;
 };
 
+/** The sender's copies of the store's data have changed. */
+struct change_notice {
+    std::string sender_ip;
+    zone_id zone;           ///< of the sender
+    known_versions changes; ///< positions at which its copies last changed
+    bool pass_on = false;   ///< the receiver passes it on to the other hosts of its zone
+};
+
 /** The complete list of targets at a position of the store. */
 struct target_snapshot {
     std::vector<target_entry> entries;
@@ -169,7 +177,7 @@
 };
 
 using host_message = std::variant<gossip, pull_request, host_snapshot, target_changes, crash_report,
-                                  freshness_query, freshness_answer, pull_refused>;
+                                  freshness_query, freshness_answer, pull_refused, change_notice>;
 
 /** @return the serialized @p message. */
 std::string encode_host_message(host_message const& message);
--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -11,16 +11,30 @@
 /// How long a change may be missing that another host of the zone has, before it is pulled from
 /// there; a push usually delivers it sooner.
 constexpr milliseconds zone_pull_delay{600};
-/// A change that a whole zone misses is pulled from another zone by the hosts that follow the
-/// store, at once by the speaker if it has lost the store; the other hosts wait this long, so that
-/// they can get it inside the zone instead.
-constexpr milliseconds cross_zone_pull_delay{2000};
+/// How long a change may be missing in a whole zone before its first host pulls it from another
+/// zone, and by how much later each further host does: the pause between two watches of the store,
+/// and the time that the first host needs to serve its zone.
+constexpr milliseconds decisions_pull_delay{300};
+constexpr milliseconds targets_pull_delay{600};
+constexpr milliseconds pull_rank_step{250};
+constexpr int last_pull_rank = 4; ///< later hosts do not wait longer
+/// The same for the whole list of targets at hosts that do not follow the store.
+constexpr milliseconds list_pull_delay{2000};
 /// A pull of small data is repeated, at another host, when its answer has not come in this time.
 constexpr milliseconds decisions_pull_interval{500};
+/// The first follower of a zone has told of a new configuration within this time after the second
+/// one got it; otherwise the second one pushes it.
+constexpr milliseconds standby_push_delay{300};
 /// Time that a configuration takes from the first follower of a zone to all hosts of the zone.
-constexpr milliseconds standby_push_delay{500};
+constexpr milliseconds push_duration{500};
 /// A host that has refused a pull is not asked again for this long.
 constexpr milliseconds refusal_period{1000};
+/// After this, reports tell what the hosts have that have sent notices.
+constexpr milliseconds notice_retention{5000};
+/// Interval between notices of leaving targets to other zones; targets often leave in series.
+constexpr milliseconds targets_notice_interval{1000};
+/// Each call to the store is charged.
+constexpr milliseconds store_doubt_interval{3000};
 /// Limit on answers to pull requests: a third of a link of 10 Mbit/s, so that requests pass as
 /// well.
 constexpr double bulk_answer_bytes_per_second = 400'000;
@@ -39,6 +53,14 @@
     return message_bytes + answer.changes.size() * target_entry_bytes;
 }
 
+/** @return whether a target leaves or has left with @p changes. */
+bool names_leaving_target(target_changes const& changes)
+{
+    return std::any_of(changes.changes.begin(), changes.changes.end(), [](auto const& change) {
+        return !change.entry || change.entry->phase == target_phase::leaving;
+    });
+}
+
 /** @return @p changed_at, or @p at if the sender did not tell it. */
 store_position known_or(store_position changed_at, store_position at)
 {
@@ -59,9 +81,10 @@
 
 } // namespace
 
-replication::replication(std::string ip, host_view& view, replica_access copies, std::uint64_t seed)
-    : ip_(std::move(ip)), view_(view), copies_(std::move(copies)),
-      random_(seed), decisions_{lag_detector(decisions_pull_interval), {}},
+replication::replication(std::string ip, zone_id zone, host_view& view, replica_access copies,
+                         std::uint64_t seed)
+    : ip_(std::move(ip)), zone_(std::move(zone)), view_(view), copies_(std::move(copies)),
+      random_(seed), decisions_{lag_detector(decisions_pull_interval), {}, false, {}},
       bulk_answers_(bulk_answer_bytes_per_second)
 {
 }
@@ -69,21 +92,41 @@
 host_effects replication::tick(replica_role const& role, mono_time now)
 {
     host_effects out;
+    std::erase_if(informed_,
+                  [now](auto const& item) { return now - item.second.heard >= notice_retention; });
     std::erase_if(refused_at_,
                   [now](auto const& item) { return now - item.second >= refusal_period; });
-    if (standby_push_due_ && now >= *standby_push_due_) {
-        standby_push_due_.reset();
-        push_config_to_lagging(out, now);
+    push_as_standby(out, now);
+    if (targets_notice_due_ && now >= *targets_notice_due_) {
+        targets_notice_due_.reset();
+        targets_noticed_ = now;
+        notify_other_zones(out, now);
     }
     pull_if_behind(out, pull_kind::decisions, role, now);
     pull_if_behind(out, pull_kind::targets, role, now);
     return out;
 }
 
-/** @return whether this host gets changes from other zones for a zone without the store. */
-bool replication::pulls_for_zone(replica_role const& role, mono_time now) const
+/**
+ * Pushes a configuration that the first follower of the zone has not told of, or in case that it
+ * has, pushes it later to those that it has not reached.
+ */
+void replication::push_as_standby(host_effects& out, mono_time now)
 {
-    return role.store_lost && view_.is_speaker(now);
+    if (!standby_push_due_ || now < *standby_push_due_) {
+        return;
+    }
+    generation const version = copies_.versions().config;
+    bool const told = std::any_of(informed_.begin(), informed_.end(), [version](auto const& item) {
+        return !item.second.in_other_zone && item.second.changes.config >= version;
+    });
+    if (told && !standby_deferred_) {
+        standby_deferred_ = true;
+        standby_push_due_ = now + push_duration + view_.zone_round();
+        return;
+    }
+    standby_push_due_.reset();
+    push_config_to_lagging(out, now);
 }
 
 known_versions replication::reported_versions() const
@@ -95,19 +138,33 @@
 std::vector<pull_source> replication::sources(pull_kind kind, mono_time now) const
 {
     std::vector<pull_source> out = view_.reported_copies(now);
+    for (auto const& [ip, host] : informed_) {
+        out.push_back({ip, host.changes, host.in_other_zone});
+    }
     for (pull_source& source : out) {
         source.changes = only(kind, source.changes);
     }
     return out;
 }
 
-milliseconds replication::pull_delay(pull_source const& source, replica_role const& role,
-                                     mono_time now) const
+milliseconds replication::pull_delay(pull_source const& source, pull_kind kind,
+                                     replica_role const& role, mono_time now) const
 {
-    if (!role.ready || (source.in_other_zone && pulls_for_zone(role, now))) {
+    if (!role.ready) {
         return milliseconds{0};
     }
-    return source.in_other_zone && !role.follows_store ? cross_zone_pull_delay : zone_pull_delay;
+    if (!source.in_other_zone) {
+        return zone_pull_delay;
+    }
+    if (role.store_lost && view_.is_speaker(now)) {
+        return milliseconds{0};
+    }
+    if (kind == pull_kind::targets && !role.follows_store) {
+        return list_pull_delay;
+    }
+    milliseconds const first =
+        kind == pull_kind::targets ? targets_pull_delay : decisions_pull_delay;
+    return first + pull_rank_step * std::min(view_.rank_in_zone(now), last_pull_rank);
 }
 
 /** Pulls from a peer what neither this host's watches nor pushes have delivered in time. */
@@ -121,6 +178,7 @@
     std::erase_if(usable, [&own](pull_source const& each) { return own.covers(each.changes); });
     if (usable.empty()) {
         state.lag.up_to_date();
+        state.asked_elsewhere = false;
         return;
     }
     std::erase_if(usable,
@@ -130,13 +188,25 @@
         return; // all of them have refused a moment ago
     }
     known_versions const& newest = source->changes;
-    if (!state.lag.should_pull(own, newest, pull_delay(*source, role, now), now)) {
+    if (!state.lag.should_pull(own, newest, pull_delay(*source, kind, role, now), now)) {
         return;
     }
     state.asked = source->ip;
+    state.asked_elsewhere = source->in_other_zone;
     out.push_back({{source->ip},
                    pull_request{ip_, newest.config > own.config, newest.targets > own.targets,
                                 newest.evacuations > own.evacuations, all.targets}});
+    if (role.ready && role.follows_store && !role.store_lost) {
+        doubt_store(state, kind, now);
+    }
+}
+
+void replication::doubt_store(pull_state& state, pull_kind kind, mono_time now)
+{
+    if (!state.store_doubted || now - *state.store_doubted >= store_doubt_interval) {
+        state.store_doubted = now;
+        copies_.doubt_store(kind);
+    }
 }
 
 host_effects replication::on(pull_request const& message, mono_time now)
@@ -200,11 +270,35 @@
     return out;
 }
 
+host_effects replication::on(change_notice const& message, mono_time now)
+{
+    if (message.sender_ip == ip_) {
+        return {};
+    }
+    informed_[message.sender_ip] = {message.changes, message.zone != zone_, now};
+    bool const known =
+        heard_.covers(message.changes) || reported_versions().covers(message.changes);
+    heard_.merge(message.changes);
+    if (known || !message.pass_on) {
+        return {};
+    }
+    change_notice passed_on = message;
+    passed_on.pass_on = false;
+    return {{view_.zone_peer_ips(now), std::move(passed_on)}};
+}
+
 host_effects replication::relay(host_snapshot const& message) const
 {
     return message.config ? relay_config(*message.config, message.relay_to, ip_) : host_effects();
 }
 
+/** @return whether @p message answers a pull from another zone. */
+bool replication::is_answer(host_snapshot const& message, pull_state const& state)
+{
+    bool const pushed = !message.answer && !message.sender_ip.empty();
+    return state.asked_elsewhere && !pushed;
+}
+
 /**
  * Of the hosts that follow the store, the first one sends a new configuration to all others of the
  * zone; the next one waits and sends it to those that still lack it.
@@ -212,19 +306,21 @@
 host_effects replication::config_from_store(mono_time now)
 {
     host_effects out;
+    notify_other_zones(out, now);
     if (view_.follows_store(1, now)) {
         push_config_to_lagging(out, now);
     }
-    else if (!standby_push_due_) {
-        standby_push_due_ = now + standby_push_delay + view_.zone_round();
+    else if (!standby_push_due_ || standby_deferred_) {
+        standby_push_due_ = now + standby_push_delay;
+        standby_deferred_ = false;
     }
     return out;
 }
 
-host_effects replication::config_from_peer(replica_role const& role, mono_time now)
+host_effects replication::config_from_peer(host_snapshot const& message, mono_time now)
 {
     host_effects out;
-    if (pulls_for_zone(role, now)) {
+    if (is_answer(message, decisions_)) {
         push_config_to_lagging(out, now);
     }
     return out;
@@ -237,17 +333,41 @@
         return;
     }
     auto const receivers = view_.zone_peer_ips_before(config->version, now);
+    // The notice first: whom the configuration does not reach by way of others can then pull it.
+    out.push_back({receivers, notice(false)});
     for (outgoing_host_message& copy : relay_config(*config, receivers, ip_)) {
         out.push_back(std::move(copy));
     }
 }
 
+change_notice replication::notice(bool pass_on) const
+{
+    return {ip_, zone_, reported_versions(), pass_on};
+}
+
+/** Tells one host of each other zone, drawn at random, what this host has. */
+void replication::notify_other_zones(host_effects& out, mono_time now)
+{
+    std::map<zone_id, std::vector<std::string const*>> hosts;
+    for (roster_host const& host : view_.serving(now)) {
+        if (host.zone != zone_) {
+            hosts[host.zone].push_back(&host.ip);
+        }
+    }
+    std::vector<std::string> receivers;
+    for (auto const& [zone, ips] : hosts) {
+        receivers.push_back(*ips[random_below(random_, ips.size())]);
+    }
+    out.push_back({std::move(receivers), notice(true)});
+}
+
 host_effects replication::evacuations_from_store(bool changed, mono_time now)
 {
     host_effects out;
     evacuation_snapshot evacuations = copies_.evacuations();
     if (changed) {
         evacuations_changed_ = evacuations.at;
+        notify_other_zones(out, now);
     }
     evacuations.changed_at = evacuations_changed_;
     out.push_back(
@@ -255,15 +375,14 @@
     return out;
 }
 
-host_effects replication::evacuations_from_peer(host_snapshot const& message,
-                                                replica_role const& role, mono_time now)
+host_effects replication::evacuations_from_peer(host_snapshot const& message, mono_time now)
 {
     evacuation_snapshot const& got = *message.evacuations;
     store_position const changed = known_or(got.changed_at, got.at);
     bool const news = changed > evacuations_changed_;
     evacuations_changed_ = std::max(evacuations_changed_, changed);
     host_effects out;
-    if (news && pulls_for_zone(role, now)) {
+    if (news && is_answer(message, decisions_)) {
         out = evacuations_from_store(false, now);
     }
     return out;
@@ -285,12 +404,26 @@
     host_effects out;
     out.push_back({view_.zone_peer_ips(now), widen(changes)});
     targets_log_.add(changes);
+    if (names_leaving_target(changes) && !targets_notice_due_) {
+        targets_notice_due_ = std::max(now, targets_noticed_ + targets_notice_interval);
+    }
     return out;
 }
 
 void replication::targets_from_peer(host_snapshot const& message)
 {
     targets_log_.restart(known_or(message.targets->changed_at, message.targets->at));
+    targets_.asked_elsewhere = false;
+}
+
+host_effects replication::targets_from_peer(target_changes const& message, mono_time now)
+{
+    target_changes const pushed = widen(message);
+    targets_log_.add(message);
+    if (!std::exchange(targets_.asked_elsewhere, false)) {
+        return {};
+    }
+    return {{view_.zone_peer_ips(now), pushed}};
 }
 
 } // namespace cove
--- a/tests/peer/blind_followers_test.cpp
+++ b/tests/peer/blind_followers_test.cpp
@@ -21,6 +21,7 @@
     char const* name;
     int blind; ///< hosts of the zone, first by name, that hear nothing from the store
     int slow;  ///< each of so many hosts is 6 times slower
+    std::size_t config_bytes = 8'000; ///< in zlib format
 };
 
 /** One zone of 37 hosts, eight others that have the store, lists of 1,215 targets. */
@@ -28,7 +29,7 @@
 protected:
     static std::unique_ptr<replica_fleet> start(std::uint64_t seed)
     {
-        auto out = std::make_unique<replica_fleet>(seed);
+        auto out = std::make_unique<replica_fleet>(seed, model());
         for (int i = 10; i < 10 + zone_hosts; ++i) {
             bool const slow = GetParam().slow > 0 && i % GetParam().slow == 0;
             out->add("a" + std::to_string(i), {"a", false, slow ? 6.0 : 1.0});
@@ -49,6 +50,13 @@
         return out;
     }
 
+    static replica_model model()
+    {
+        replica_model out;
+        out.config_bytes = GetParam().config_bytes;
+        return out;
+    }
+
     static void expect_all_at_least(replica_fleet& fleet, generation version)
     {
         for (auto const& [ip, host] : fleet.hosts()) {
@@ -86,15 +94,17 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(zone_of_37, blind_zone,
-                         testing::Values(blind_case{"no_follower", 0, 0},
-                                         blind_case{"one_follower", 1, 0},
-                                         blind_case{"both_followers", 2, 0},
-                                         blind_case{"both_followers_and_slow_hosts", 2, 3},
-                                         blind_case{"four_hosts", 4, 0},
-                                         blind_case{"all_hosts", 37, 0},
-                                         blind_case{"all_hosts_and_slow_hosts", 37, 3}),
-                         [](auto const& info) { return std::string(info.param.name); });
+INSTANTIATE_TEST_SUITE_P(
+    zone_of_37, blind_zone,
+    testing::Values(blind_case{"no_follower", 0, 0}, blind_case{"one_follower", 1, 0},
+                    blind_case{"both_followers", 2, 0},
+                    blind_case{"both_followers_and_slow_hosts", 2, 3},
+                    blind_case{"four_hosts", 4, 0}, blind_case{"all_hosts", 37, 0},
+                    blind_case{"all_hosts_and_slow_hosts", 37, 3},
+                    blind_case{"both_followers_and_a_large_configuration", 2, 0, 100'000},
+                    blind_case{"all_hosts_and_slow_hosts_and_a_large_configuration", 37, 3,
+                               100'000}),
+    [](auto const& info) { return std::string(info.param.name); });
 
 } // namespace
 } // namespace cove
--- a/tests/peer/replication_fleet.h
+++ b/tests/peer/replication_fleet.h
@@ -32,7 +32,7 @@
     replica_host(std::string const& name, replica_traits traits, replica_model const& model,
                  std::uint64_t seed)
         : traits_(std::move(traits)), model_(model), view_(self_report(name, traits_.zone), seed),
-          replication_("ip-" + name, view_, access(), seed)
+          replication_("ip-" + name, zone_id(traits_.zone), view_, access(), seed)
     {
     }
 
@@ -54,14 +54,14 @@
             return replication_.on(*pull, now);
         }
         if (auto const* const changes = std::get_if<target_changes>(&message)) {
-            if (apply(*changes)) {
-                replication_.targets_from_peer(*changes);
-            }
-            return {};
+            return apply(*changes) ? replication_.targets_from_peer(*changes, now) : host_effects();
         }
         if (auto const* const refused = std::get_if<pull_refused>(&message)) {
             return replication_.on(*refused, role(now), now);
         }
+        if (auto const* const notice = std::get_if<change_notice>(&message)) {
+            return replication_.on(*notice, now);
+        }
         if (auto const* const snapshot = std::get_if<host_snapshot>(&message)) {
             return on(*snapshot, now);
         }
@@ -153,6 +153,7 @@
             return targets_;
         };
         out.evacuations = [this] { return evacuation_snapshot{{}, versions_.evacuations}; };
+        out.doubt_store = [](pull_kind) {}; // the store says nothing all the same
         out.log = [this](std::string const& name, log_fields const&) { ++log_lines[name]; };
         return out;
     }
@@ -188,7 +189,7 @@
     {
         host_effects out = replication_.relay(message);
         if (message.config && apply_config(message.config->version, now)) {
-            append(out, replication_.config_from_peer(role(now), now));
+            append(out, replication_.config_from_peer(message, now));
         }
         if (message.targets) {
             if (message.targets->at >= versions_.targets) {
@@ -199,7 +200,7 @@
         if (message.evacuations && message.evacuations->at > versions_.evacuations) {
             versions_.evacuations = message.evacuations->at;
             evacuations_at_ = now;
-            append(out, replication_.evacuations_from_peer(message, role(now), now));
+            append(out, replication_.evacuations_from_peer(message, now));
         }
         return out;
     }
