Pull from another host when the one that was asked does not answer

Callers would have seen requests handled by the configuration before while a host of the zone that has the new one is mute, paused or dead but still counted as live (up to 4.5 s in a zone of 37): the zone pulls from itself as long as one of its hosts has told of the version, and an unanswered pull went to the same host again, every 0.5 s. Found by reading; replication.a_source_that_does_not_answer_is_not_asked_again_while_others_have_the_data failed before (the second pull went to the silent peer, not to the other zone).

A host that has not answered in the interval between pulls is asked during the next 3 s only if no other host has the data. The choice falls back to other zones by itself, since silent peers no longer count as sources there.

--- a/src/follow/lag_detector.cpp
+++ b/src/follow/lag_detector.cpp
@@ -14,9 +14,8 @@
         missing_since_ = now;
     }
     // Targets change all the time; a configuration must not wait for the pulls that they cause.
-    bool const answer_may_come =
-        now - last_pull_ < min_pull_interval_ && newest.config <= pulled_config_;
-    if (now - missing_since_ < pull_delay || answer_may_come) {
+    bool const wait = answer_may_come(now) && newest.config <= pulled_config_;
+    if (now - missing_since_ < pull_delay || wait) {
         return false;
     }
     last_pull_ = now;
--- a/src/follow/lag_detector.h
+++ b/src/follow/lag_detector.h
@@ -37,6 +37,12 @@
     /** Tells that the last pull will not be answered. */
     void not_answered() { last_pull_ = {}; }
 
+    /** @return whether the answer to the last pull, if there was one, may still come. */
+    [[nodiscard]] bool answer_may_come(mono_time now) const
+    {
+        return now - last_pull_ < min_pull_interval_;
+    }
+
     /** @return since when a change has been missing, if one is. */
     [[nodiscard]] std::optional<mono_time> missing_since() const
     {
--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds push_duration{500};
 /// A host that has refused a pull is not asked again for this long.
 constexpr milliseconds refusal_period{1000};
+/// A host that has not answered a pull is asked for this long only if no other one has the data.
+constexpr milliseconds silence_period{3000};
 /// After this, reports tell what the hosts have that have sent notices.
 constexpr milliseconds notice_retention{5000};
 /// Interval between notices of leaving targets to other zones; targets often leave in series.
@@ -96,6 +98,8 @@
                   [now](auto const& item) { return now - item.second.heard >= notice_retention; });
     std::erase_if(refused_at_,
                   [now](auto const& item) { return now - item.second >= refusal_period; });
+    std::erase_if(silent_at_,
+                  [now](auto const& item) { return now - item.second >= silence_period; });
     push_as_standby(out, now);
     if (targets_notice_due_ && now >= *targets_notice_due_) {
         targets_notice_due_.reset();
@@ -167,6 +171,15 @@
     return first + pull_rank_step * std::min(view_.rank_in_zone(now), last_pull_rank);
 }
 
+/** Takes note of a host that has not answered a pull of this kind in time. */
+void replication::note_silence(pull_state& state, mono_time now)
+{
+    if (state.answer_due && !state.lag.answer_may_come(now)) {
+        state.answer_due = false;
+        silent_at_[state.asked] = now;
+    }
+}
+
 /** Pulls from a peer what neither this host's watches nor pushes have delivered in time. */
 void replication::pull_if_behind(host_effects& out, pull_kind kind, replica_role const& role,
                                  mono_time now)
@@ -179,10 +192,16 @@
     if (usable.empty()) {
         state.lag.up_to_date();
         state.asked_elsewhere = false;
+        state.answer_due = false;
         return;
     }
     std::erase_if(usable,
                   [this](pull_source const& each) { return refused_at_.contains(each.ip); });
+    note_silence(state, now);
+    auto const is_silent = [this](pull_source const& each) { return silent_at_.contains(each.ip); };
+    if (!std::all_of(usable.begin(), usable.end(), is_silent)) {
+        std::erase_if(usable, is_silent);
+    }
     auto const source = choose_pull_source(std::move(usable), own, random_);
     if (!source) {
         return; // all of them have refused a moment ago
@@ -193,6 +212,7 @@
     }
     state.asked = source->ip;
     state.asked_elsewhere = source->in_other_zone;
+    state.answer_due = true;
     out.push_back({{source->ip},
                    pull_request{ip_, newest.config > own.config, newest.targets > own.targets,
                                 newest.evacuations > own.evacuations, all.targets}});
@@ -265,6 +285,7 @@
         return out;
     }
     refused_at_[message.sender_ip] = now;
+    state.answer_due = false;
     state.lag.not_answered();
     pull_if_behind(out, message.kind, role, now);
     return out;
@@ -319,6 +340,7 @@
 
 host_effects replication::config_from_peer(host_snapshot const& message, mono_time now)
 {
+    decisions_.answer_due = false;
     host_effects out;
     if (is_answer(message, decisions_)) {
         push_config_to_lagging(out, now);
@@ -381,6 +403,7 @@
     store_position const changed = known_or(got.changed_at, got.at);
     bool const news = changed > evacuations_changed_;
     evacuations_changed_ = std::max(evacuations_changed_, changed);
+    decisions_.answer_due = decisions_.answer_due && !news;
     host_effects out;
     if (news && is_answer(message, decisions_)) {
         out = evacuations_from_store(false, now);
@@ -413,6 +436,7 @@
 void replication::targets_from_peer(host_snapshot const& message)
 {
     targets_log_.restart(known_or(message.targets->changed_at, message.targets->at));
+    targets_.answer_due = false;
     targets_.asked_elsewhere = false;
 }
 
@@ -420,6 +444,7 @@
 {
     target_changes const pushed = widen(message);
     targets_log_.add(message);
+    targets_.answer_due = false;
     if (!std::exchange(targets_.asked_elsewhere, false)) {
         return {};
     }
--- a/tests/peer/replication_test.cpp
+++ b/tests/peer/replication_test.cpp
@@ -164,6 +164,18 @@
     EXPECT_EQ(asked, (std::vector<std::string>{"ip-a1", "ip-a1"}));
 }
 
+// A mute peer that has told of a version kept its zone from asking any other host.
+TEST(replication, a_source_that_does_not_answer_is_not_asked_again_while_others_have_the_data)
+{
+    replicating_host host("a5");
+    host.hear_peer("a1", versions_with(2));
+    host.hear_zone("b", versions_with(2));
+    auto const asked = host.pulls_within(milliseconds{2000});
+    ASSERT_GE(asked.size(), 2U);
+    EXPECT_EQ(asked[0], "ip-a1");
+    EXPECT_EQ(asked[1], "ip-b0");
+}
+
 TEST(replication, a_notice_is_passed_on_once)
 {
     replicating_host host("a0");
