Prefer a host that has told of its own versions to the speaker of a zone

Callers would have seen requests handled by the configuration before for half a second longer: the status of a zone names the newest versions that any of its hosts has reported, under the address of its speaker, which may itself lack them. A pull from it brings old data and is repeated 0.5 s later.

--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -556,7 +556,7 @@
     }
     for (auto const& [name, zone] : remote_zones_) {
         if (is_alive(zone, now)) {
-            out.push_back({zone.status.ip, zone.status.versions, true});
+            out.push_back({zone.status.ip, zone.status.versions, true, true});
         }
     }
     return out;
--- a/src/peer/pull_choice.cpp
+++ b/src/peer/pull_choice.cpp
@@ -33,6 +33,10 @@
     if (std::any_of(sources.begin(), sources.end(), is_newest)) {
         std::erase_if(sources, [&](pull_source const& source) { return !is_newest(source); });
     }
+    auto const may_lack = [](pull_source const& source) { return source.may_lack_them; };
+    if (!std::all_of(sources.begin(), sources.end(), may_lack)) {
+        std::erase_if(sources, may_lack);
+    }
     if (sources.empty()) {
         return std::nullopt;
     }
--- a/tests/peer/replication_test.cpp
+++ b/tests/peer/replication_test.cpp
@@ -176,6 +176,21 @@
     EXPECT_EQ(asked[1], "ip-b0");
 }
 
+// A speaker reports the versions of its zone and may itself lack them.
+TEST(replication, a_host_that_has_the_data_is_asked_before_a_speaker_that_may_lack_it)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        replicating_host host("a0", {true, false, false}, seed);
+        host.hear_zone("b", versions_with(2));
+        host.hear_zone("c", versions_with(2));
+        host.hear_zone("d", versions_with(2));
+        host.hear_notice("c1", "c", versions_with(2));
+        auto const asked = host.pulls_within(milliseconds{600});
+        ASSERT_EQ(asked.size(), 1U);
+        EXPECT_EQ(asked[0], "ip-c1");
+    }
+}
+
 TEST(replication, a_notice_is_passed_on_once)
 {
     replicating_host host("a0");
