Do not let a late notice hide a newer one of the same host

A notice that is passed on takes another way than the next one of the same sender and may arrive after it. It replaced what the sender had told, so that the host forgot the newer version until it heard of it otherwise. replication.a_late_notice_does_not_hide_a_newer_one failed before (no pull).

--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -296,7 +296,10 @@
     if (message.sender_ip == ip_) {
         return {};
     }
-    informed_[message.sender_ip] = {message.changes, message.zone != zone_, now};
+    informed_host& sender = informed_[message.sender_ip];
+    sender.changes.merge(message.changes); // one that was passed on may be older
+    sender.in_other_zone = message.zone != zone_;
+    sender.heard = now;
     bool const known =
         heard_.covers(message.changes) || reported_versions().covers(message.changes);
     heard_.merge(message.changes);
--- a/tests/peer/replication_test.cpp
+++ b/tests/peer/replication_test.cpp
@@ -191,6 +191,16 @@
     }
 }
 
+// A notice that is passed on may arrive after a newer one of the same host.
+TEST(replication, a_late_notice_does_not_hide_a_newer_one)
+{
+    replicating_host host("a0");
+    host.hear_notice("b1", "b", versions_with(3));
+    host.hear_notice("b1", "b", versions_with(2));
+    host.copies.config = generation(2);
+    EXPECT_EQ(host.pulls_within(milliseconds{600}), (std::vector<std::string>{"ip-b1"}));
+}
+
 TEST(replication, a_notice_is_passed_on_once)
 {
     replicating_host host("a0");
