Let more hosts than the followers pull leaving targets in time

New requests would have gone to a leaving target for longer than allowed in a zone whose two followers are paused or have just stopped: only followers pulled the list after 0.6 s and 0.85 s, all others after 2 s, the whole bound. replication.a_host_behind_two_silent_followers_pulls_leaving_targets_in_time failed before (no pull in 1.5 s).

The first five hosts of a zone by name, followers or not, now pull the list one after the other; each pushes what it gets to the zone, so that the later ones do not ask.

--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds targets_pull_delay{600};
 constexpr milliseconds pull_rank_step{250};
 constexpr int last_pull_rank = 4; ///< later hosts do not wait longer
-/// The same for the whole list of targets at hosts that do not follow the store.
+/// The same for the list of targets at later hosts that do not follow the store.
 constexpr milliseconds list_pull_delay{2000};
 /// A pull of small data is repeated, at another host, when its answer has not come in this time.
 constexpr milliseconds decisions_pull_interval{500};
@@ -163,12 +163,13 @@
     if (role.store_lost && view_.is_speaker(now)) {
         return milliseconds{0};
     }
-    if (kind == pull_kind::targets && !role.follows_store) {
+    int const rank = view_.rank_in_zone(now);
+    if (kind == pull_kind::targets && !role.follows_store && rank > last_pull_rank) {
         return list_pull_delay;
     }
     milliseconds const first =
         kind == pull_kind::targets ? targets_pull_delay : decisions_pull_delay;
-    return first + pull_rank_step * std::min(view_.rank_in_zone(now), last_pull_rank);
+    return first + pull_rank_step * std::min(rank, last_pull_rank);
 }
 
 /** Takes note of a host that has not answered a pull of this kind in time. */
--- a/tests/peer/replication_test.cpp
+++ b/tests/peer/replication_test.cpp
@@ -201,6 +201,16 @@
     EXPECT_EQ(host.pulls_within(milliseconds{600}), (std::vector<std::string>{"ip-b1"}));
 }
 
+// Without a follower that runs, the list waited longer than a target may take to leave.
+TEST(replication, a_host_behind_two_silent_followers_pulls_leaving_targets_in_time)
+{
+    replicating_host host("a2");
+    host.hear_peer("a0", versions_with(1));
+    host.hear_peer("a1", versions_with(1));
+    host.hear_notice("b1", "b", versions_with(1, 2));
+    EXPECT_EQ(host.pulls_within(milliseconds{1500}).size(), 1U);
+}
+
 TEST(replication, a_notice_is_passed_on_once)
 {
     replicating_host host("a0");
