Keep urgent answers apart from the debt of a long list

A host that has answered with a list of 30,000 targets (3 MB) refused pulls of configurations and evacuations for several seconds, since the list leaves the limit on answers in debt by more than the urgent ones may add. replication.an_answer_with_a_long_list_does_not_delay_a_configuration failed before (refused). Urgent answers are now limited by themselves, and still count for the others.

--- a/src/peer/byte_budget.h
+++ b/src/peer/byte_budget.h
@@ -11,7 +11,8 @@
 class byte_budget {
 public:
     explicit byte_budget(double bytes_per_second)
-        : bytes_per_second_(bytes_per_second), left_(bytes_per_second)
+        : bytes_per_second_(bytes_per_second), left_(bytes_per_second),
+          urgent_left_(bytes_per_second)
     {
     }
 
@@ -19,8 +20,8 @@
     bool take(std::size_t bytes, mono_time now);
 
     /**
-     * Takes @p bytes of a message that goes before others: it may leave the budget in debt by what
-     * one second allows.
+     * Takes @p bytes of a message that goes before others: whatever these have taken, it passes
+     * unless urgent messages alone exceed the budget by more than what one second allows.
      */
     bool take_urgent(std::size_t bytes, mono_time now);
 
@@ -29,6 +30,7 @@
 
     double bytes_per_second_; ///< also the size of the bucket
     double left_;             ///< below 0 after a message larger than the bucket
+    double urgent_left_;      ///< if there were only urgent messages
     mono_time refilled_{};
 };
 
--- a/tests/peer/replication_test.cpp
+++ b/tests/peer/replication_test.cpp
@@ -211,6 +211,23 @@
     EXPECT_EQ(host.pulls_within(milliseconds{1500}).size(), 1U);
 }
 
+// An answer with a list of 30,000 targets kept every configuration back for seconds.
+TEST(replication, an_answer_with_a_long_list_does_not_delay_a_configuration)
+{
+    replicating_host host("a0");
+    host.targets = 30'000;
+    host.copies = versions_with(2, 2, 2);
+    host.decisions().targets_listed(position(2));
+    pull_request lists{ip_of("a1")};
+    lists.targets = true;
+    ASSERT_EQ(messages<host_snapshot>(host.decisions().on(lists, host.now)).size(), 1U);
+    pull_request configs{ip_of("a2")};
+    configs.config = true;
+    auto const out = host.decisions().on(configs, host.now + milliseconds{100});
+    ASSERT_EQ(messages<host_snapshot>(out).size(), 1U);
+    EXPECT_EQ(messages<host_snapshot>(out)[0]->config->version, generation(2));
+}
+
 TEST(replication, a_notice_is_passed_on_once)
 {
     replicating_host host("a0");
