Tell zones again that have not told of a change

Callers would have seen new requests at a leaving target in a zone that hears nothing from the store, when only one other zone has it: its two followers tell one host each of every other zone, and both hosts may be paused or the notices lost; the next status comes up to a second later.

A follower now tells another host, 0.3 s later, of the zones from which it has heard no notice of the change. Zones that follow the store tell of it themselves by then. New unit test replication.zones_that_do_not_tell_of_a_change_are_told_of_it_again.

The fleet of the property can lose messages and pause hosts.

--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds push_duration{500};
 /// A host that has refused a pull is not asked again for this long.
 constexpr milliseconds refusal_period{1000};
+/// The followers of all zones have told of a change within this time.
+constexpr milliseconds retelling_delay{300};
 /// A host that has not answered a pull is asked for this long only if no other one has the data.
 constexpr milliseconds silence_period{3000};
 /// After this, reports tell what the hosts have that have sent notices.
@@ -86,7 +88,7 @@
 replication::replication(std::string ip, zone_id zone, host_view& view, replica_access copies,
                          std::uint64_t seed)
     : ip_(std::move(ip)), zone_(std::move(zone)), view_(view), copies_(std::move(copies)),
-      random_(seed), decisions_{lag_detector(decisions_pull_interval), {}, false, {}},
+      random_(seed), decisions_{lag_detector(decisions_pull_interval), {}, false, false, {}},
       bulk_answers_(bulk_answer_bytes_per_second)
 {
 }
@@ -104,8 +106,9 @@
     if (targets_notice_due_ && now >= *targets_notice_due_) {
         targets_notice_due_.reset();
         targets_noticed_ = now;
-        notify_other_zones(out, now);
+        notify_other_zones(out, only(pull_kind::targets, reported_versions()), now);
     }
+    notify_silent_zones(out, now);
     pull_if_behind(out, pull_kind::decisions, role, now);
     pull_if_behind(out, pull_kind::targets, role, now);
     return out;
@@ -121,9 +124,10 @@
         return;
     }
     generation const version = copies_.versions().config;
-    bool const told = std::any_of(informed_.begin(), informed_.end(), [version](auto const& item) {
-        return !item.second.in_other_zone && item.second.changes.config >= version;
-    });
+    bool const told =
+        std::any_of(informed_.begin(), informed_.end(), [this, version](auto const& item) {
+            return item.second.zone == zone_ && item.second.changes.config >= version;
+        });
     if (told && !standby_deferred_) {
         standby_deferred_ = true;
         standby_push_due_ = now + push_duration + view_.zone_round();
@@ -143,7 +147,7 @@
 {
     std::vector<pull_source> out = view_.reported_copies(now);
     for (auto const& [ip, host] : informed_) {
-        out.push_back({ip, host.changes, host.in_other_zone});
+        out.push_back({ip, host.changes, host.zone != zone_});
     }
     for (pull_source& source : out) {
         source.changes = only(kind, source.changes);
@@ -299,7 +303,7 @@
     }
     informed_host& sender = informed_[message.sender_ip];
     sender.changes.merge(message.changes); // one that was passed on may be older
-    sender.in_other_zone = message.zone != zone_;
+    sender.zone = message.zone;
     sender.heard = now;
     bool const known =
         heard_.covers(message.changes) || reported_versions().covers(message.changes);
@@ -331,7 +335,7 @@
 host_effects replication::config_from_store(mono_time now)
 {
     host_effects out;
-    notify_other_zones(out, now);
+    notify_other_zones(out, {copies_.versions().config, {}, {}}, now);
     if (view_.follows_store(1, now)) {
         push_config_to_lagging(out, now);
     }
@@ -371,12 +375,44 @@
     return {ip_, zone_, reported_versions(), pass_on};
 }
 
+/** Tells the other zones of @p news. */
+void replication::notify_other_zones(host_effects& out, known_versions const& news, mono_time now)
+{
+    news_.merge(news);
+    if (!retelling_due_) {
+        retelling_due_ = now + retelling_delay;
+    }
+    notify_zones(out, {}, now);
+}
+
+/** Tells another host of the zones that have not told of the news: the first may not have got it.
+ */
+void replication::notify_silent_zones(host_effects& out, mono_time now)
+{
+    if (!retelling_due_ || now < *retelling_due_) {
+        return;
+    }
+    retelling_due_.reset();
+    std::map<zone_id, known_versions> told;
+    for (auto const& [ip, host] : informed_) {
+        told[host.zone].merge(host.changes);
+    }
+    std::set<zone_id> informed;
+    for (auto const& [zone, versions] : told) {
+        if (versions.covers(news_)) {
+            informed.insert(zone);
+        }
+    }
+    news_ = {};
+    notify_zones(out, informed, now);
+}
+
 /** Tells one host of each other zone, drawn at random, what this host has. */
-void replication::notify_other_zones(host_effects& out, mono_time now)
+void replication::notify_zones(host_effects& out, std::set<zone_id> const& except, mono_time now)
 {
     std::map<zone_id, std::vector<std::string const*>> hosts;
     for (roster_host const& host : view_.serving(now)) {
-        if (host.zone != zone_) {
+        if (host.zone != zone_ && !except.contains(host.zone)) {
             hosts[host.zone].push_back(&host.ip);
         }
     }
@@ -384,7 +420,9 @@
     for (auto const& [zone, ips] : hosts) {
         receivers.push_back(*ips[random_below(random_, ips.size())]);
     }
-    out.push_back({std::move(receivers), notice(true)});
+    if (!receivers.empty()) {
+        out.push_back({std::move(receivers), notice(true)});
+    }
 }
 
 host_effects replication::evacuations_from_store(bool changed, mono_time now)
@@ -393,7 +431,7 @@
     evacuation_snapshot evacuations = copies_.evacuations();
     if (changed) {
         evacuations_changed_ = evacuations.at;
-        notify_other_zones(out, now);
+        notify_other_zones(out, {{}, {}, evacuations_changed_}, now);
     }
     evacuations.changed_at = evacuations_changed_;
     out.push_back(
--- a/src/peer/replication.h
+++ b/src/peer/replication.h
@@ -8,6 +8,7 @@
 #include "peer/host_view.h"
 
 #include <functional>
+#include <set>
 
 namespace cove {
 
@@ -93,7 +94,7 @@
     /** A host that has told of a change. */
     struct informed_host {
         known_versions changes;
-        bool in_other_zone = false;
+        zone_id zone;
         mono_time heard{};
     };
     /** Pulls of one kind. */
@@ -119,7 +120,9 @@
     [[nodiscard]] static bool is_answer(host_snapshot const& message, pull_state const& state);
     void push_as_standby(host_effects& out, mono_time now);
     void push_config_to_lagging(host_effects& out, mono_time now) const;
-    void notify_other_zones(host_effects& out, mono_time now);
+    void notify_other_zones(host_effects& out, known_versions const& news, mono_time now);
+    void notify_silent_zones(host_effects& out, mono_time now);
+    void notify_zones(host_effects& out, std::set<zone_id> const& except, mono_time now);
     [[nodiscard]] change_notice notice(bool pass_on) const;
 
     std::string ip_;
@@ -140,6 +143,8 @@
     std::optional<mono_time> standby_push_due_;   ///< of the configuration, by a second follower
     std::optional<mono_time> targets_notice_due_; ///< of leaving targets, to other zones
     mono_time targets_noticed_{};
+    known_versions news_;                    ///< that other zones were told of lately
+    std::optional<mono_time> retelling_due_; ///< of news_, to zones that have not told of it
 };
 
 } // namespace cove
--- a/tests/peer/replication_fleet.h
+++ b/tests/peer/replication_fleet.h
@@ -24,6 +24,7 @@
     milliseconds leader_notice{4650}; ///< time after which the first follower knows of its loss
     milliseconds standby_notice{11'000};
     double processing_ns_per_byte = 200; ///< on a tenth of a core
+    double lost_share = 0;               ///< of all messages, after start()
 };
 
 /** A host with its copies of the store's data. */
@@ -117,6 +118,10 @@
     [[nodiscard]] bool follows_store(mono_time now) const { return view_.follows_store(2, now); }
     [[nodiscard]] bool is_blind() const { return traits_.blind; }
     [[nodiscard]] known_versions const& versions() const { return versions_; }
+    [[nodiscard]] known_versions reported_versions() const
+    {
+        return replication_.reported_versions();
+    }
     [[nodiscard]] mono_time config_at() const { return config_at_; }
     [[nodiscard]] mono_time evacuations_at() const { return evacuations_at_; }
     [[nodiscard]] replica_traits const& traits() const { return traits_; }
@@ -125,6 +130,7 @@
     mono_time sending_until{};    ///< by the bytes that its link has still to send
     mono_time receiving_until{};  ///< the same for those that it receives
     mono_time processing_until{}; ///< by the messages that it has still to process
+    mono_time paused_until{};     ///< it does nothing before
     std::map<std::string, int> log_lines;
 
 private:
@@ -266,6 +272,14 @@
             tick_after(milliseconds(random_below(random_, host_view::tick_interval.count())), ip);
         }
         run_for(seconds{12});
+        lost_share_ = model_.lost_share;
+    }
+
+    /** Stops a host for @p time; it then processes what has arrived meanwhile. */
+    void pause(std::string const& ip, milliseconds time)
+    {
+        replica_host& host = *hosts_.at(ip);
+        host.paused_until = std::max(host.paused_until, now() + time);
     }
 
     void run_for(milliseconds time)
@@ -334,6 +348,11 @@
     void tick_after(milliseconds delay, std::string const& ip)
     {
         time_.after(delay, [this, ip] {
+            mono_time const resumed = hosts_.at(ip)->paused_until;
+            if (resumed > now()) {
+                tick_after(std::chrono::ceil<milliseconds>(resumed - now()), ip);
+                return;
+            }
             transmit(ip, hosts_.at(ip)->tick(time_.now()));
             tick_after(host_view::tick_interval, ip);
         });
@@ -346,9 +365,10 @@
             if (!host->is_blind() && host->follows_store(time_.now())) {
                 // The pause between two watches, and the call.
                 milliseconds const delay(4 + random_below(random_, 150));
-                time_.after(delay, [this, &host = *host, ip = ip, deliver] {
-                    transmit(ip, deliver(host, time_.now()));
-                });
+                time_.at(std::max(now() + delay, host->paused_until),
+                         [this, &host = *host, ip = ip, deliver] {
+                             transmit(ip, deliver(host, time_.now()));
+                         });
             }
         }
     }
@@ -383,6 +403,10 @@
         bytes_sent[from] += bytes;
         replica_host& sender = *hosts_.at(from);
         sender.sending_until = std::max(sender.sending_until, time_.now()) + time_on_link(bytes);
+        if (lost_share_ > 0 &&
+            static_cast<double>(random_below(random_, 1'000'000)) < lost_share_ * 1e6) {
+            return;
+        }
         bool const local = sender.traits().zone == receiver->second->traits().zone;
         time_.at(sender.sending_until + (local ? in_zone : between_zones),
                  [this, ip, message, bytes] { arrive(ip, message, bytes); });
@@ -395,7 +419,7 @@
         host.receiving_until = std::max(host.receiving_until, time_.now()) + time_on_link(bytes);
         double const work = model_.processing_ns_per_byte * host.traits().slow / 1e3;
         host.processing_until =
-            std::max(host.processing_until, host.receiving_until) +
+            std::max({host.processing_until, host.receiving_until, host.paused_until}) +
             microseconds(static_cast<std::int64_t>(work * static_cast<double>(bytes)));
         time_.at(host.processing_until,
                  [this, &host, ip, message] { transmit(ip, host.on(*message, time_.now())); });
@@ -403,6 +427,7 @@
 
     replica_model model_;
     random_engine random_;
+    double lost_share_ = 0;
     scheduler time_;
     known_versions newest_;
     std::map<std::string, std::unique_ptr<replica_host>> hosts_;
--- a/tests/peer/replication_test.cpp
+++ b/tests/peer/replication_test.cpp
@@ -263,6 +263,29 @@
     EXPECT_EQ(zones, (std::set<char>{'b', 'c'}));
 }
 
+// Both followers of the only zone with the store may tell hosts that are paused.
+TEST(replication, zones_that_do_not_tell_of_a_change_are_told_of_it_again)
+{
+    replicating_host host("a0", {true, true, false});
+    host.hear_zone("b", versions_with(1), 3);
+    host.hear_zone("c", versions_with(1), 3);
+    host.copies.config = generation(2);
+    host.decisions().config_from_store(host.now);
+    host.hear_notice("b1", "b", versions_with(2));
+    std::vector<std::string> told;
+    for (int i = 0; i < 4; ++i) {
+        host.now += host_view::tick_interval;
+        for (auto const& effect : host.decisions().tick({true, true, false}, host.now)) {
+            auto const* const notice = std::get_if<change_notice>(&effect.message);
+            if (notice != nullptr && notice->pass_on) {
+                told.insert(told.end(), effect.ips.begin(), effect.ips.end());
+            }
+        }
+    }
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].substr(0, 4), "ip-c");
+}
+
 TEST(replication, a_refused_pull_goes_to_the_next_host_at_once)
 {
     replicating_host host("a0");
