Pull leaving targets as early and as often as configurations

New requests would have gone to a leaving target for longer than 2 s in a zone that hears nothing from the store: a notice may wait a second for the one before it, the first pull waited 0.6 s more, and a pull that was lost or that the next change came after was repeated a second later.

The first host now waits 0.3 s for the list, too, and repeats a pull after 0.5 s. The 80 tests of peer_test without mute_link, loop_transport and the property pass. Remains: a list of several MB on a slow link is asked for more than once.

--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -15,7 +15,7 @@
 /// zone, and by how much later each further host does: the pause between two watches of the store,
 /// and the time that the first host needs to serve its zone.
 constexpr milliseconds decisions_pull_delay{300};
-constexpr milliseconds targets_pull_delay{600};
+constexpr milliseconds targets_pull_delay{300};
 constexpr milliseconds pull_rank_step{250};
 constexpr int last_pull_rank = 4; ///< later hosts do not wait longer
 /// The same for the list of targets at later hosts that do not follow the store.
@@ -89,6 +89,7 @@
                          std::uint64_t seed)
     : ip_(std::move(ip)), zone_(std::move(zone)), view_(view), copies_(std::move(copies)),
       random_(seed), decisions_{lag_detector(decisions_pull_interval), {}, false, false, {}},
+      targets_{lag_detector(decisions_pull_interval), {}, false, false, {}},
       bulk_answers_(bulk_answer_bytes_per_second)
 {
 }
