Let a follower doubt a silent store by what its peers deliver

Callers: requests at a host were routed by an older version for as long as its zone's first follower believed a watch that its store never answered. Cause, three gaps in the path of a doubt: - a doubted store that said nothing needed two time-outs (3 s) to be lost; - a doubt between two watches was dropped, and the next watch waited on the old connection until the bound on silence; - when a second follower pushed each change, the first never pulled, so nothing doubted its store. Change: follower::doubt() asks at once over a new connection, counts for a watch without wait that is under way, and takes one time-out as a loss; it costs at most one call in 3 s for each kind. follower::expect_answer() doubts the store if a change that came from a peer is not followed by an answer of the own watch within the batch delay and 300 ms. watch_without_wait(), which renews proofs without any evidence, still needs two time-outs. Logs: store_doubted names one kind, the silence and the evidence; evacuations_in_force tells from whom an evacuation came; the metric cove_store_proof_age_ms is the age of the proof of each kind at followers.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -22,6 +22,7 @@
 follower::~follower()
 {
     timers_.cancel(next_call_);
+    timers_.cancel(answer_check_);
 }
 
 void follower::start(bool list_now, read_freshness first_list)
@@ -85,12 +86,54 @@
     }
 }
 
+void follower::doubt(std::string const& evidence)
+{
+    mono_time const now = read_clocks().mono;
+    bool const doubted_lately = last_doubt_ && now - *last_doubt_ < doubt_interval;
+    if (!active_ || !listed_ || !reachable_ || doubted_lately) {
+        return; // a failed list is a loss in any case
+    }
+    last_doubt_ = now;
+    doubted_ = true;
+    if (calls_.doubted) {
+        calls_.doubted(evidence);
+    }
+    if (call_pending_) {
+        watch_without_wait();
+        return;
+    }
+    calls_.abort(); // closes the idle connection
+    without_wait_ = true;
+}
+
+void follower::expect_answer()
+{
+    if (!active_ || !listed_ || !reachable_ || answer_check_ != 0) {
+        return;
+    }
+    mono_time const now = read_clocks().mono;
+    answer_check_ = timers_.once(now + batch_delay_ + answer_grace, [this, now] {
+        answer_check_ = 0;
+        if (last_answer_ < now) {
+            doubt("delivered by a peer");
+        }
+    });
+}
+
+void follower::forget_doubt()
+{
+    doubted_ = false;
+    without_wait_ = false;
+    timers_.cancel(std::exchange(answer_check_, 0));
+}
+
 void follower::set_active(bool active)
 {
     if (active == active_) {
         return;
     }
     active_ = active;
+    forget_doubt();
     if (active) {
         next_list_ = read_freshness::current;
     }
@@ -123,9 +166,8 @@
     };
     if (listed_) {
         // After a failure, an answer without delay tells that the store is back.
-        times_ = reachable_ && !unanswered_ && !std::exchange(without_wait_, false)
-                     ? timing_.next()
-                     : watch_times{milliseconds{0}, watch_timing::max_timeout};
+        bool const at_once = std::exchange(without_wait_, false) || !reachable_ || unanswered_;
+        times_ = at_once ? watch_times{milliseconds{0}, watch_timing::max_timeout} : timing_.next();
         calls_.watch(at_, times_, done);
     }
     else {
@@ -137,6 +179,7 @@
 /** @param watched whether it is the answer to a watch, as opposed to a list. */
 void follower::on_answer(follow_result const& answer, bool watched)
 {
+    bool const doubted = std::exchange(doubted_, false);
     era_ = std::max(era_, answer.at.era);
     if (at_.era < era_) {
         listed_ = false; // the copy is of an earlier era
@@ -160,8 +203,10 @@
         call_store();
         break;
     case follow_status::failed:
-        // A watch that heard nothing in all of its time may only have lost its connection.
-        if (watched && reachable_ && !unanswered_ && elapsed >= times_.wait + times_.timeout) {
+        // A watch that heard nothing in all of its time may only have lost its connection; not if
+        // it was doubted, as its connection was new.
+        if (watched && reachable_ && !unanswered_ && !doubted &&
+            elapsed >= times_.wait + times_.timeout) {
             unanswered_ = true;
             call_store();
             break;
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -8,6 +8,7 @@
 #include "http/loop_timers.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace cove {
@@ -42,6 +43,7 @@
     /// The copy has every change that the store acknowledged before that moment; the era is that of
     /// the answer which proves it. Called after the changes were delivered.
     std::function<void(boot_time, store_era)> proved = nullptr;
+    std::function<void(std::string const& evidence)> doubted = nullptr; ///< on each doubt
 };
 
 /**
@@ -95,6 +97,21 @@
     /** Replaces a pending watch by one that the store answers at once, to prove the copy new. */
     void watch_without_wait();
 
+    /**
+     * Tells that a peer has a change that the store should have delivered by now. The next watch,
+     * or the one that is under way, asks at once over a new connection; if that is not answered
+     * within one time-out, the store is lost. At most once in doubt_interval, because calls are
+     * charged.
+     * @param evidence for the log.
+     */
+    void doubt(std::string const& evidence);
+
+    /**
+     * Tells that a peer has delivered a change that is news to this host. The store is doubted if
+     * it does not answer a watch soon, which would deliver the change as well.
+     */
+    void expect_answer();
+
     /** @return whether the last call succeeded; true before the first one has ended. */
     [[nodiscard]] bool reachable() const { return reachable_; }
 
@@ -102,6 +119,9 @@
     [[nodiscard]] mono_time last_answer() const { return last_answer_; }
 
     static constexpr milliseconds default_batch_delay{150};
+    /// How much later than a peer's push a watch may deliver the same change.
+    static constexpr milliseconds answer_grace{300};
+    static constexpr milliseconds doubt_interval{3000};
 
 private:
     void call_store();
@@ -109,6 +129,7 @@
     void on_data(store_position at, bool watched);
     void report_proof(follow_result const& answer, bool watched, milliseconds elapsed) const;
     void schedule_call(milliseconds wait);
+    void forget_doubt();
     void set_reachable(bool up, std::string const& detail);
 
     loop_timers& timers_;
@@ -129,6 +150,9 @@
     bool list_deferred_ = false; ///< the first list call waits for set_active(true)
     bool reachable_ = true;
     bool unanswered_ = false; ///< the last watch heard nothing in all of its time
+    bool doubted_ = false;    ///< one time-out of the next watch, or the one under way, is a loss
+    std::optional<mono_time> last_doubt_;
+    loop_timers::subscription answer_check_ = 0; ///< set while an answer is expected
     bool call_pending_ = false;
     mono_time last_answer_;
     loop_timers::subscription next_call_ = 0;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -239,14 +239,16 @@
         }
     };
     out.evacuations_listed = [this](evacuation_snapshot const& list) {
-        if (apply(list)) {
+        if (apply(list, "store", "")) {
             replication_.evacuations_listed(list.at);
         }
     };
     out.evacuations_changed = [this](std::vector<std::pair<zone_id, bool>> const& changes,
                                      store_position at) {
         if (evacuations_.change(changes, at)) {
-            forwarder_.set_evacuations(evacuations_.zones());
+            if (!changes.empty()) {
+                apply_evacuations("store", "");
+            }
             send(replication_.evacuations_from_store(!changes.empty(), read_clocks().mono));
         }
     };
@@ -306,9 +308,21 @@
                 targets_.store_recovered(now);
             }
         };
+        of_kind.proved = [this, kind](boot_time at, store_era) { store_proofs_[kind] = at; };
+        of_kind.doubted = [this, &subject, kind](std::string const& evidence) {
+            mono_time const now = read_clocks().mono;
+            log_.event("store_doubted",
+                       {{"kind", kind},
+                        {"silent_ms", to_text_ms(now - subject.last_answer())},
+                        {"evidence", evidence}},
+                       now);
+        };
     };
     observe(calls.config, config_follower_, "config");
-    calls.config.proved = [this](boot_time at, store_era era) { freshness_.store_proved(at, era); };
+    calls.config.proved = [this](boot_time at, store_era era) {
+        store_proofs_["config"] = at;
+        freshness_.store_proved(at, era);
+    };
     observe(calls.targets, target_follower_, "targets");
     observe(calls.evacuations, evacuation_follower_, "evacuations");
     return calls;
@@ -360,14 +374,13 @@
 /** Asks the store at once, over new connections, for data that peers have and this host lacks. */
 void entry_host::doubt_store(pull_kind kind)
 {
-    log_.event("store_doubted", {{"kind", kind == pull_kind::targets ? "targets" : "decisions"}},
-               read_clocks().mono);
+    std::string const evidence = "reported by a peer";
     if (kind == pull_kind::targets) {
-        target_follower_.watch_without_wait();
+        target_follower_.doubt(evidence);
         return;
     }
-    config_follower_.watch_without_wait();
-    evacuation_follower_.watch_without_wait();
+    config_follower_.doubt(evidence);
+    evacuation_follower_.doubt(evidence);
 }
 
 /** Lets only a few hosts of each zone follow the store, because each call to it is charged. */
@@ -821,6 +834,11 @@
         out += std::string("cove_store_silence_ms{kind=\"") + kind + "\"} " +
                to_text_ms(now - subject->last_answer()) + "\n";
     }
+    out += "# TYPE cove_store_proof_age_ms gauge\n";
+    for (auto const& [kind, at] : store_proofs_) {
+        out += "cove_store_proof_age_ms{kind=\"" + kind + "\"} " +
+               to_text_ms(read_boot_clock() - at) + "\n";
+    }
     out += "# TYPE cove_unsent_messages counter\ncove_unsent_messages " +
            std::to_string(transport_.unsent_messages()) + "\n";
     gauge("answer_bytes", answers_->held());
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -91,10 +91,11 @@
     void on(freshness_answer const& message);
     void spread_crashes(std::vector<crash_record> const& records);
     void repeat_crashes(mono_time now);
-    bool apply(target_changes const& message, std::string const& source);
+    std::optional<targets_changed> apply(target_changes const& message, std::string const& source);
     bool apply(packed_config const& received, config_delivery const& delivery);
     bool apply(target_snapshot const& list, std::string const& source);
-    bool apply(evacuation_snapshot const& list);
+    bool apply(evacuation_snapshot const& list, std::string const& source, std::string const& peer);
+    void apply_evacuations(std::string const& source, std::string const& peer);
     void expire_held_entries(mono_time now);
     void push_to_zone(host_message const& message);
     void transmit(std::vector<std::string> const& ips, host_message const& message);
@@ -147,11 +148,12 @@
     boost::asio::signal_set signals_;
     target_list targets_;
     evacuation_list evacuations_;
-    store_era era_;                       ///< latest one named by the store or by a peer
-    std::uint64_t store_returns_ = 0;     ///< from older copies, since this host started
-    bool registered_ = false;             ///< the store has, or had, the address of this host
-    bool host_call_pending_ = false;      ///< a call on addresses of hosts; there is one at a time
-    std::optional<packed_config> config_; ///< the active configuration
+    store_era era_;                   ///< latest one named by the store or by a peer
+    std::uint64_t store_returns_ = 0; ///< from older copies, since this host started
+    bool registered_ = false;         ///< the store has, or had, the address of this host
+    bool host_call_pending_ = false;  ///< a call on addresses of hosts; there is one at a time
+    std::map<std::string, boot_time> store_proofs_; ///< by kind: the copy was the newest then
+    std::optional<packed_config> config_;           ///< the active configuration
     mono_time config_activated_{};
     version_trace heard_configs_;
     random_engine random_;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -270,13 +270,20 @@
         std::string const source = message.answer ? "pull" : "push";
         if (apply(*message.config, {source, message.sender_ip, now})) {
             send(replication_.config_from_peer(message, now));
+            config_follower_.expect_answer();
         }
     }
     if (message.targets && apply(*message.targets, "peer")) {
         replication_.targets_from_peer(message);
     }
-    if (message.evacuations && apply(*message.evacuations)) {
-        send(replication_.evacuations_from_peer(message, now));
+    if (message.evacuations) {
+        bool const news = message.evacuations->zones != evacuations_.listed();
+        if (apply(*message.evacuations, message.answer ? "pull" : "push", message.sender_ip)) {
+            send(replication_.evacuations_from_peer(message, now));
+            if (news) {
+                evacuation_follower_.expect_answer();
+            }
+        }
     }
 }
 
@@ -326,38 +333,59 @@
     return true;
 }
 
-/** @return whether the list was taken; not if it is old. */
-bool entry_host::apply(evacuation_snapshot const& list)
+/**
+ * @param source, peer for the log.
+ * @return whether the list was taken; not if it is old.
+ */
+bool entry_host::apply(evacuation_snapshot const& list, std::string const& source,
+                       std::string const& peer)
 {
     if (list.at.era < era_ || list.at < evacuations_.position()) {
         return false;
     }
     if (evacuations_.replace(list.zones, list.at, read_clocks().mono)) {
-        forwarder_.set_evacuations(evacuations_.zones());
+        apply_evacuations(source, peer);
     }
     return true;
 }
 
+/** @param source, peer for the log: who told of the last change. */
+void entry_host::apply_evacuations(std::string const& source, std::string const& peer)
+{
+    forwarder_.set_evacuations(evacuations_.zones());
+    std::string zones;
+    for (zone_id const& zone : evacuations_.zones()) {
+        zones += (zones.empty() ? "" : " ") + zone.value;
+    }
+    log_.event("evacuations_in_force",
+               {{"zones", zones},
+                {"position", to_text(evacuations_.position())},
+                {"source", source},
+                {"peer", peer}},
+               read_clocks().mono);
+}
+
 /** Ends the periods for which entries were kept although the store does not list them. */
 void entry_host::expire_held_entries(mono_time now)
 {
     forward_changes(targets_.expire(now));
     if (evacuations_.expire(now)) {
-        forwarder_.set_evacuations(evacuations_.zones());
+        apply_evacuations("grace_over", "");
     }
 }
 
 /**
  * Applies changes newer than this host's list.
  * @param source for the log.
- * @return whether they were applied; not if they are old or do not follow on from the list.
+ * @return what they changed; nothing if they are old or do not follow on from the list.
  */
-bool entry_host::apply(target_changes const& message, std::string const& source)
+std::optional<targets_changed> entry_host::apply(target_changes const& message,
+                                                 std::string const& source)
 {
     store_position const known = targets_.position();
     bool const contiguous = targets_known_ && message.to.era == known.era && message.from <= known;
     if (!contiguous || message.to <= known) {
-        return false; // after a gap, the host pulls the whole list
+        return std::nullopt; // after a gap, the host pulls the whole list
     }
     mono_time const now = read_clocks().mono;
     for (target_change const& change : message.changes) {
@@ -370,16 +398,19 @@
                        now);
         }
     }
-    targets_changed const changed = targets_.apply(message.changes, now);
+    targets_changed changed = targets_.apply(message.changes, now);
     targets_.advance(message.to);
     forward_changes(changed);
-    return true;
+    return changed;
 }
 
 void entry_host::on(target_changes const& message)
 {
-    if (apply(message, "peer")) {
+    if (auto const changed = apply(message, "peer")) {
         send(replication_.targets_from_peer(message, read_clocks().mono));
+        if (!changed->updated.empty() || !changed->removed.empty()) {
+            target_follower_.expect_answer();
+        }
     }
 }
 
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -61,6 +61,12 @@
             loop, [this] { return answer != nullptr; }, milliseconds{2000});
     }
 
+    void pass(milliseconds time)
+    {
+        run_until(
+            loop, [] { return false; }, time);
+    }
+
     boost::asio::io_context loop;
     loop_timers timers;
     follow_calls::done answer;
@@ -125,6 +131,125 @@
     EXPECT_GT(watch_wait, milliseconds{0});
 }
 
+// A follower that had evidence of a silent store needed two time-outs to believe it.
+TEST_F(follower_case, a_doubted_store_that_does_not_answer_is_lost_after_one_time_out)
+{
+    watch_from_40();
+    subject.doubt("reported");
+    EXPECT_EQ(aborts, 1);
+    ASSERT_EQ(watches, 2);
+    EXPECT_EQ(watch_wait, milliseconds{0});
+    pass(watch_timeout + milliseconds{10});
+    reply(follow_status::failed);
+    EXPECT_EQ(lost, 1);
+}
+
+// Without evidence, e.g. to renew a proof, one slow answer is no loss.
+TEST_F(follower_case, a_watch_without_wait_that_is_not_answered_is_repeated_before_a_loss)
+{
+    watch_from_40();
+    subject.watch_without_wait();
+    pass(watch_timeout + milliseconds{10});
+    reply(follow_status::failed);
+    EXPECT_EQ(lost, 0);
+    ASSERT_NE(answer, nullptr);
+}
+
+// The next watch waited on a dead connection until the bound on silence.
+TEST_F(follower_case,
+       a_doubt_between_two_watches_makes_the_next_one_ask_at_once_on_a_new_connection)
+{
+    watch_from_40();
+    reply(follow_status::done, 40);
+    subject.doubt("reported");
+    EXPECT_EQ(aborts, 1);
+    EXPECT_EQ(watches, 1);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_wait, milliseconds{0});
+    reply(follow_status::done, 41);
+    EXPECT_EQ(lost, 0);
+    ASSERT_TRUE(calls_again());
+    EXPECT_GT(watch_wait, milliseconds{0});
+}
+
+TEST_F(follower_case, a_doubt_counts_for_a_watch_without_wait_that_is_under_way)
+{
+    watch_from_40();
+    subject.watch_without_wait();
+    pass(milliseconds{100});
+    subject.doubt("reported");
+    EXPECT_EQ(watches, 2);
+    EXPECT_EQ(aborts, 1);
+    pass(watch_timeout - milliseconds{90});
+    reply(follow_status::failed);
+    EXPECT_EQ(lost, 1);
+}
+
+TEST_F(follower_case, a_false_doubt_costs_one_call_and_loses_nothing)
+{
+    watch_from_40();
+    subject.doubt("reported");
+    subject.doubt("reported");
+    reply(follow_status::done, 42);
+    EXPECT_EQ(lost, 0);
+    EXPECT_EQ(watches, 2);
+    ASSERT_TRUE(calls_again());
+    EXPECT_EQ(watch_start, position(42));
+    EXPECT_GT(watch_wait, milliseconds{0});
+}
+
+TEST_F(follower_case, a_doubt_while_inactive_causes_no_call)
+{
+    subject.start(true);
+    reply(follow_status::done, 40);
+    subject.doubt("reported");
+    subject.expect_answer();
+    pass(follower::answer_grace + follower::default_batch_delay + milliseconds{50});
+    EXPECT_EQ(watches, 0);
+}
+
+// The second follower's pushes hid from the first one that its store said nothing.
+TEST_F(follower_case, doubts_a_store_that_does_not_deliver_what_a_peer_has_delivered)
+{
+    watch_from_40();
+    subject.expect_answer();
+    pass(follower::default_batch_delay + follower::answer_grace + milliseconds{50});
+    EXPECT_EQ(aborts, 1);
+    ASSERT_EQ(watches, 2);
+    EXPECT_EQ(watch_wait, milliseconds{0});
+    pass(watch_timeout + milliseconds{10});
+    reply(follow_status::failed);
+    EXPECT_EQ(lost, 1);
+}
+
+TEST_F(follower_case, does_not_doubt_a_store_that_delivers_a_change_a_little_after_a_peer)
+{
+    watch_from_40();
+    subject.expect_answer();
+    pass(milliseconds{200});
+    reply(follow_status::done, 41);
+    pass(follower::default_batch_delay + follower::answer_grace + milliseconds{50});
+    EXPECT_EQ(aborts, 0);
+    EXPECT_EQ(watches, 2);
+    EXPECT_GT(watch_wait, milliseconds{0});
+}
+
+// Each call to the store is charged.
+TEST_F(follower_case, changes_from_peers_in_series_cause_one_doubt)
+{
+    watch_from_40();
+    for (int i = 0; i < 10; ++i) {
+        subject.expect_answer();
+        pass(milliseconds{120});
+        if (answer && watch_wait == milliseconds{0}) {
+            reply(follow_status::done, 40);
+        }
+    }
+    EXPECT_EQ(aborts, 1);
+    EXPECT_LE(watches, 3); // the one that was replaced, its replacement and the next one
+    EXPECT_EQ(lost, 0);
+}
+
 TEST_F(follower_case, lists_once_and_then_watches_from_the_last_revision)
 {
     subject.set_active(true);
