Test that a zone whose store falls silent gets each change in time

Callers: a store that says nothing, instead of failing, left a zone behind; only the failing store had a test with hosts over loopback.

--- a/tests/support/zone_case.h
+++ b/tests/support/zone_case.h
@@ -9,6 +9,9 @@
 struct host_traits {
     std::string zone = "east";
     bool store_fails = false; ///< each of its calls to the store
+    /// Its store answers until store_silent is set; from then on it says nothing, and calls end by
+    /// their time-outs.
+    bool store_falls_silent = false;
 };
 
 /** The hosts of a few zones; the test acts as the store of each of them. */
@@ -44,9 +47,11 @@
             clients.push_back(settings->client_address);
             hosts.push_back(std::make_unique<entry_host>(
                 loop, timers, *settings, test_wire_format(), [settings] { return *settings; },
-                [this, fails = traits[i].store_fails](store_hooks hooks) {
+                [this, own_traits = traits[i]](store_hooks hooks) {
                     stores.push_back(std::move(hooks));
-                    store_calls calls = fails ? failing_store() : silent_store();
+                    store_calls calls = own_traits.store_fails          ? failing_store()
+                                        : own_traits.store_falls_silent ? store_until_silent()
+                                                                        : silent_store();
                     calls.read_config = read_config;
                     calls.list_hosts = [](std::function<void(bool)> const& done) { done(true); };
                     calls.register_host = [this](host_record const& host, bool,
@@ -73,6 +78,36 @@
         return calls;
     }
 
+    /** @return a store without changes that answers each call until store_silent is set. */
+    store_calls store_until_silent()
+    {
+        store_calls calls = silent_store();
+        for (follow_calls* const kind : {&calls.config, &calls.targets, &calls.evacuations}) {
+            auto const pending = std::make_shared<loop_timers::subscription>(0);
+            auto const answer = [this, pending](milliseconds wait, milliseconds timeout,
+                                                follow_calls::done const& done) {
+                *pending = timers.once(read_clocks().mono + wait, [this, pending, timeout, done] {
+                    if (!store_silent) {
+                        done({follow_status::done, position(1), {}});
+                        return;
+                    }
+                    *pending = timers.once(read_clocks().mono + timeout, [done] {
+                        done({follow_status::failed, {}, "no answer"});
+                    });
+                });
+            };
+            kind->list = [answer](read_freshness, follow_calls::done const& done) {
+                answer(milliseconds{0}, watch_timing::max_timeout, done);
+            };
+            kind->watch = [answer](store_position, watch_times times,
+                                   follow_calls::done const& done) {
+                answer(times.wait, times.timeout, done);
+            };
+            kind->abort = [this, pending] { timers.cancel(std::exchange(*pending, 0)); };
+        }
+        return calls;
+    }
+
     /** The text of a configuration starts with its version. */
     static result<config_document> read_config(std::string const& text)
     {
@@ -110,10 +145,12 @@
         return at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size() + 2));
     }
 
-    bool all_have(std::uint64_t version)
+    bool all_have(std::uint64_t version) { return all_show("cove_config_version", version); }
+
+    bool all_show(std::string const& name, std::uint64_t value)
     {
         for (std::size_t i = 0; i < hosts.size(); ++i) {
-            if (metric(i, "cove_config_version") != version) {
+            if (metric(i, name) != value) {
                 return false;
             }
         }
@@ -143,6 +180,7 @@
 
     boost::asio::io_context loop;
     loop_timers timers;
+    bool store_silent = false; ///< for hosts with store_falls_silent
     std::vector<store_hooks> stores;
     std::vector<node_id> registered;  ///< hosts that have written their address, in order
     std::vector<std::string> metrics; ///< address of each host
