Do not decide on relayed requests by an older configuration

Cause: a host decides anew on each request that another host relays, by its own routes, services and homes. Nothing told it that the relaying host had a newer configuration; only deployments with workspaces named a version, and the route was looked up before that was read.

Change: a relayed request names the version in force at the relaying host (Cove-Config). A host with an older one, or none, answers 503 with a time to come back before it looks up a route; nothing of the request has run. It logs the version and notes that it has heard of it. A request without the field is served as before.

Why it works: no decision is made by a configuration older than the one that chose the carrying host.

Not covered by a test: that the relaying host sets the field, and how often callers are refused while a version spreads.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -196,6 +196,11 @@
     forwarder_.limit(quotas_);
     forwarder_.set_freshness([this] { return freshness_.fresh(); });
     forwarder_.set_config_description([this] { return describe_config(); });
+    forwarder_.on_newer_config([this](node_id const& host, generation version) {
+        if (version > heard_configs_.newest()) {
+            heard_configs_.hear(version, "relay " + host.value, read_clocks().mono);
+        }
+    });
     clients_.share_memory(answers_);
     relays_.share_memory(answers_);
     for (http_server* const each : {&readiness_, &directory_, &metrics_}) {
--- a/src/host/request_forwarder.cpp
+++ b/src/host/request_forwarder.cpp
@@ -30,6 +30,8 @@
 constexpr char const* attempts_field = "Cove-Attempts";
 /// Field of a relayed request with the name of the host that relays it.
 constexpr char const* host_field = "Cove-Host";
+/// Field of a relayed request with the version of the configuration by which it is relayed.
+constexpr char const* config_field = "Cove-Config";
 constexpr std::uint64_t relayed_id_bit = std::uint64_t{1} << 63U; ///< calls of two servers differ
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
@@ -45,9 +47,10 @@
     return buffer;
 }
 
-std::optional<int> read_int(std::string_view text)
+template <class Number>
+std::optional<Number> read_number(std::string_view text)
 {
-    int value = 0;
+    Number value = 0;
     auto const [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (code != std::errc{} || end != text.data() + text.size()) {
         return std::nullopt;
@@ -55,6 +58,11 @@
     return value;
 }
 
+std::optional<int> read_int(std::string_view text)
+{
+    return read_number<int>(text);
+}
+
 /** @return whether a client takes an answer with @p status as a promise that nothing has run. */
 bool promises_not_run(http::status status)
 {
@@ -274,6 +282,10 @@
     open.attempts_left = take_attempts_left(request);
     open.relayed_by = node_id(to_std_string(request[host_field]));
     request.erase(host_field);
+    if (!take_config_version(request, open.relayed_by)) {
+        respond(*peers_, call, http::status::service_unavailable, no_config_retry_after);
+        return;
+    }
     open.message = std::move(request);
     accept(request_id(call.value | relayed_id_bit), std::move(open), true);
 }
@@ -309,6 +321,41 @@
     return std::max(0, attempts.value_or(0));
 }
 
+/**
+ * Removes the field with the version by which another host relays a request.
+ * @return whether this host may decide on the request: its configuration is not older. The field is
+ * absent if the other host is of an earlier version of the program.
+ */
+bool request_forwarder::take_config_version(http_request& request, node_id const& relayed_by)
+{
+    auto const field = request.find(config_field);
+    if (field == request.end()) {
+        return true;
+    }
+    std::string const text = to_std_string(field->value());
+    request.erase(config_field);
+    auto const named = read_number<std::uint64_t>(text);
+    if (!named) {
+        log_.event("relay_field_malformed", {{"field", config_field}, {"value", text}},
+                   read_clocks().mono);
+        return false;
+    }
+    generation const version(*named);
+    if (version <= version_) {
+        return true;
+    }
+    log_.event("relayed_by_newer_config",
+               {{"request", to_std_string(request[names_.attempt_id])},
+                {"host", relayed_by.value},
+                {"version", std::to_string(version_.value)},
+                {"newer", text}},
+               read_clocks().mono);
+    if (newer_config_) {
+        newer_config_(relayed_by, version);
+    }
+    return false;
+}
+
 void request_forwarder::accept(request_id id, open_request open, bool relayed)
 {
     if (!routes_) {
@@ -618,6 +665,7 @@
     admission_.prepare_for_relay(message, open.credentials);
     message.set(client_field, open.client);
     message.set(host_field, host_.value);
+    message.set(config_field, std::to_string(version_.value));
     message.set(attempts_field, std::to_string(effect.attempts_left));
     target_id const peer(effect.address);
     connection const used =
@@ -947,6 +995,7 @@
 
 void request_forwarder::set_config(routing_config const& config)
 {
+    version_ = config.version;
     routes_ = std::make_unique<route_table>(config);
     admission_.set_config(config);
     round_robin_.keep_only(config);
--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -87,6 +87,13 @@
         describe_config_ = std::move(describe);
     }
 
+    /** @param behind called when host @p host relays by @p version, newer than that of this host.
+     */
+    void on_newer_config(std::function<void(node_id const& host, generation version)> behind)
+    {
+        newer_config_ = std::move(behind);
+    }
+
     /** @param fresh whether the configuration is new enough for decisions on access keys. */
     void set_freshness(std::function<bool()> fresh) { admission_.set_freshness(std::move(fresh)); }
     [[nodiscard]] request_admission const& admission() const { return admission_; }
@@ -175,6 +182,7 @@
     void execute(links_probed const& effect);
     void execute(links_changed const& effect);
     std::optional<int> take_attempts_left(http_request& request);
+    bool take_config_version(http_request& request, node_id const& relayed_by);
     void accept(request_id id, open_request open, bool relayed);
     void log_unknown_route(http_request const& request, bool relayed);
     std::shared_ptr<std::string> keep_body(open_request const& open, std::string body);
@@ -217,6 +225,8 @@
     request_admission admission_;
     weighted_round_robin round_robin_;
     std::function<log_fields()> describe_config_ = [] { return log_fields(); };
+    std::function<void(node_id const&, generation)> newer_config_;
+    generation version_; ///< of the active configuration; 0: there is none
     std::unique_ptr<route_table> routes_;
     std::unordered_map<request_id, open_request> open_;
     std::vector<request_id> departed_; ///< found without client when they were to be sent
