Let the delay of a pull begin with the notice of the change

The delay of 300 ms began at the next tick and ended at a tick. It now begins when the notice arrives. The delay for targets is 300 ms plus the first follower's pause between two watches, so that a follower with the store is not overtaken by its peers each time that targets leave.

A host that is relayed a request by a newer configuration takes that as a notice of the relaying host, so that it pulls the version there.

--- a/src/follow/lag_detector.cpp
+++ b/src/follow/lag_detector.cpp
@@ -2,6 +2,15 @@
 
 namespace cove {
 
+void lag_detector::note(known_versions const& own, known_versions const& newest, mono_time now)
+{
+    bool const missing = !own.covers(newest);
+    if (missing && (!missing_versions_ || own.covers(*missing_versions_))) {
+        missing_versions_ = newest;
+        missing_since_ = now;
+    }
+}
+
 bool lag_detector::should_pull(known_versions const& own, known_versions const& newest,
                                milliseconds pull_delay, mono_time now)
 {
@@ -9,10 +18,7 @@
         missing_versions_.reset();
         return false;
     }
-    if (!missing_versions_ || own.covers(*missing_versions_)) {
-        missing_versions_ = newest;
-        missing_since_ = now;
-    }
+    note(own, newest, now);
     // Targets change all the time; a configuration must not wait for the pulls that they cause.
     bool const wait = answer_may_come(now) && newest.config <= pulled_config_;
     if (now - missing_since_ < pull_delay || wait) {
--- a/src/follow/lag_detector.h
+++ b/src/follow/lag_detector.h
@@ -31,6 +31,10 @@
     bool should_pull(known_versions const& own, known_versions const& newest,
                      milliseconds pull_delay, mono_time now);
 
+    /** Tells of the newest versions that a peer has, so that the delay of a pull counts from now.
+     */
+    void note(known_versions const& own, known_versions const& newest, mono_time now);
+
     /** Tells that no peer has newer data. */
     void up_to_date() { missing_versions_.reset(); }
 
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -196,11 +196,8 @@
     forwarder_.limit(quotas_);
     forwarder_.set_freshness([this] { return freshness_.fresh(); });
     forwarder_.set_config_description([this] { return describe_config(); });
-    forwarder_.on_newer_config([this](node_id const& host, generation version) {
-        if (version > heard_configs_.newest()) {
-            heard_configs_.hear(version, "relay " + host.value, read_clocks().mono);
-        }
-    });
+    forwarder_.on_newer_config(
+        [this](node_id const& host, generation version) { note_newer_config(host, version); });
     clients_.share_memory(answers_);
     relays_.share_memory(answers_);
     for (http_server* const each : {&readiness_, &directory_, &metrics_}) {
@@ -658,17 +655,17 @@
     quotas_.set_config(config, read_clocks().mono);
     freshness_.config_applied(config.version);
     config_activated_ = read_clocks().mono;
-    log_.event("config_in_force",
-               {{"version", std::to_string(config.version.value)},
-                {"routes", std::to_string(config.routes.size())},
-                {"source", delivery.source},
-                {"peer", delivery.peer},
-                {"bytes", std::to_string(config_->bytes.size())},
-                {"decode_ms", to_text_ms(config_activated_ - delivery.received)},
-                {"newest_heard", std::to_string(heard_configs_.newest().value)},
-                {"heard_ms", std::to_string(heard_configs_.age(config_activated_).count())},
-                {"heard_from", heard_configs_.source()}},
-               config_activated_);
+    // Without the limit on lines: it tells at which version later requests were decided.
+    log_event("config_in_force",
+              {{"version", std::to_string(config.version.value)},
+               {"routes", std::to_string(config.routes.size())},
+               {"source", delivery.source},
+               {"peer", delivery.peer},
+               {"bytes", std::to_string(config_->bytes.size())},
+               {"decode_ms", to_text_ms(config_activated_ - delivery.received)},
+               {"newest_heard", std::to_string(heard_configs_.newest().value)},
+               {"heard_ms", std::to_string(heard_configs_.age(config_activated_).count())},
+               {"heard_from", heard_configs_.source()}});
     return true;
 }
 
@@ -689,7 +686,8 @@
 
 replica_role entry_host::role() const
 {
-    return {ready(), follows_store_, store_lost()};
+    return {ready(), follows_store_, store_lost(),
+            fraction_of(settings_.drain, leader_batch_fraction)};
 }
 
 known_versions entry_host::versions() const
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -63,6 +63,7 @@
     store_hooks hooks();
     store_calls observe_reachability(store_calls calls);
     void doubt_store(pull_kind kind);
+    void note_newer_config(node_id const& host, generation version);
     void update_store_following(mono_time now);
     void enter_era(store_era era, std::string const& source);
     void register_self(int failures);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -3,6 +3,7 @@
 #include "host/entry_host.h"
 
 #include "core/deflate_func.h"
+#include "log/log_func.h"
 
 #include <array>
 
@@ -189,6 +190,18 @@
     }
 }
 
+/** Another host has relayed a request by a version that this host lacks: it can be pulled there. */
+void entry_host::note_newer_config(node_id const& host, generation version)
+{
+    mono_time const now = read_clocks().mono;
+    heard_configs_.hear(version, "relay " + host.value, now);
+    for (roster_host const& each : view_.serving(now)) {
+        if (each.name == host) {
+            send(replication_.on(change_notice{each.ip, each.zone, {version, {}, {}}, false}, now));
+        }
+    }
+}
+
 void entry_host::on(crash_report const& message)
 {
     forwarder_.merge_crashes(message.records);
@@ -357,12 +370,10 @@
     for (zone_id const& zone : evacuations_.zones()) {
         zones += (zones.empty() ? "" : " ") + zone.value;
     }
-    log_.event("evacuations_in_force",
-               {{"zones", zones},
-                {"position", to_text(evacuations_.position())},
-                {"source", source},
-                {"peer", peer}},
-               read_clocks().mono);
+    log_event("evacuations_in_force", {{"zones", zones},
+                                       {"position", to_text(evacuations_.position())},
+                                       {"source", source},
+                                       {"peer", peer}});
 }
 
 /** Ends the periods for which entries were kept although the store does not list them. */
--- a/src/peer/replication.cpp
+++ b/src/peer/replication.cpp
@@ -12,10 +12,9 @@
 /// there; a push usually delivers it sooner.
 constexpr milliseconds zone_pull_delay{600};
 /// How long a change may be missing in a whole zone before its first host pulls it from another
-/// zone, and by how much later each further host does: the pause between two watches of the store,
-/// and the time that the first host needs to serve its zone.
-constexpr milliseconds decisions_pull_delay{300};
-constexpr milliseconds targets_pull_delay{300};
+/// zone; the first follower's watch usually delivers it sooner. For targets, its pause is added.
+constexpr milliseconds cross_zone_pull_delay{300};
+/// Each further host of the zone pulls later, as the first one serves its zone by then.
 constexpr milliseconds pull_rank_step{250};
 constexpr int last_pull_rank = 4; ///< later hosts do not wait longer
 /// The same for the list of targets at later hosts that do not follow the store.
@@ -172,9 +171,8 @@
     if (kind == pull_kind::targets && !role.follows_store && rank > last_pull_rank) {
         return list_pull_delay;
     }
-    milliseconds const first =
-        kind == pull_kind::targets ? targets_pull_delay : decisions_pull_delay;
-    return first + pull_rank_step * std::min(rank, last_pull_rank);
+    milliseconds const pause = kind == pull_kind::targets ? role.targets_pause : milliseconds{0};
+    return cross_zone_pull_delay + pause + pull_rank_step * std::min(rank, last_pull_rank);
 }
 
 /** Takes note of a host that has not answered a pull of this kind in time. */
@@ -309,6 +307,9 @@
     bool const known =
         heard_.covers(message.changes) || reported_versions().covers(message.changes);
     heard_.merge(message.changes);
+    for (pull_kind const kind : {pull_kind::decisions, pull_kind::targets}) {
+        state_of(kind).lag.note(only(kind, copies_.versions()), only(kind, message.changes), now);
+    }
     if (known || !message.pass_on) {
         return {};
     }
--- a/src/peer/replication.h
+++ b/src/peer/replication.h
@@ -29,6 +29,8 @@
     bool ready = false;         ///< has a configuration and a list of targets
     bool follows_store = false; ///< watches the store
     bool store_lost = false;    ///< its calls to the store fail
+    /// Pause of the first follower of a zone between two watches of the targets.
+    milliseconds targets_pause{};
 };
 
 /**
--- a/tests/peer/replication_fleet.h
+++ b/tests/peer/replication_fleet.h
@@ -170,6 +170,9 @@
                    std::make_move_iterator(more.end()));
     }
 
+    /// At the shortest drain time of the deployments, 2 s.
+    static constexpr milliseconds targets_pause{250};
+
     [[nodiscard]] bool store_lost(mono_time now) const
     {
         bool const leads = view_.follows_store(1, now);
@@ -179,7 +182,7 @@
 
     [[nodiscard]] replica_role role(mono_time now) const
     {
-        return {true, view_.follows_store(2, now), store_lost(now)};
+        return {true, view_.follows_store(2, now), store_lost(now), targets_pause};
     }
 
     [[nodiscard]] local_host_state state(mono_time now) const
