--- a/src/process_soak/cove_process_soak.cpp
+++ b/src/process_soak/cove_process_soak.cpp
@@ -28,6 +28,11 @@
                         each.detail.c_str());
         }
     }
+    for (cove::force_time const& each : out.force_times) {
+        std::printf(
+            "version %d logged in force by the last host in touch after %ld ms at most (%s)\n",
+            each.version, static_cast<long>(each.late.count()), each.host.c_str());
+    }
     std::printf("process soak seed=%lu seconds=%ld requests=%zu answered=%zu runs=%zu ended=%d",
                 options.seed, static_cast<long>(options.duration.count()), out.requests,
                 out.answered, out.runs, out.ended_unasked);
@@ -44,6 +49,7 @@
 int main(int argc, char** argv)
 {
     cove::process_soak_options options;
+    std::string schedule = "mixed";
     long duration_s = options.duration.count();
     po::options_description description("Options");
     auto add = description.add_options();
@@ -52,6 +58,15 @@
     add("seconds", po::value(&duration_s), "length of the run");
     add("program", po::value(&options.program)->required(), "the entry host, cove-host");
     add("directory", po::value(&options.folder)->required(), "folder for settings and logs");
+    add("schedule", po::value(&schedule),
+        "of faults: mixed, or the store is silent and the configuration changes in series: "
+        "blind-followers, blind-share, blind-zone");
+    add("zones", po::value(&options.shape.zones), "zones, each in a region of its own");
+    add("hosts-per-zone", po::value(&options.shape.hosts_per_zone), "entry hosts of each zone");
+    add("targets", po::value(&options.shape.targets), "targets, spread over the zones");
+    add("listed-targets", po::value(&options.shape.listed_targets),
+        "further targets in the store's list, which no request is for");
+    add("clients-per-host", po::value(&options.shape.clients_per_host), "clients of each host");
     po::variables_map variables;
     try {
         po::store(po::parse_command_line(argc, argv, description), variables);
@@ -65,6 +80,12 @@
         std::cerr << error.what() << "\n";
         return cove::exit_usage;
     }
+    auto const kind = cove::schedule_kind_of(schedule);
+    if (!kind) {
+        std::cerr << "unknown schedule " << schedule << "\n";
+        return cove::exit_usage;
+    }
+    options.schedule = *kind;
     std::signal(SIGPIPE, SIG_IGN); // a write to a closed connection returns an error instead
     std::filesystem::create_directories(options.folder);
     options.duration = cove::seconds(duration_s);
--- a/src/process_soak/host_fleet.h
+++ b/src/process_soak/host_fleet.h
@@ -67,6 +67,10 @@
 
     [[nodiscard]] std::size_t size() const { return hosts_.size(); }
     [[nodiscard]] fleet_host const& host(std::size_t number) const { return hosts_[number].place; }
+    [[nodiscard]] std::string log_path(std::size_t number) const
+    {
+        return folder_ + "/" + hosts_[number].place.name + ".log";
+    }
     [[nodiscard]] fleet_ports const& ports() const { return ports_; }
 
 private:
--- a/src/process_soak/process_soak.cpp
+++ b/src/process_soak/process_soak.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <functional>
 #include <future>
 
@@ -20,7 +21,6 @@
 using json = nlohmann::json;
 
 constexpr int port_block = 200;
-constexpr int clients_per_host = 3;
 constexpr milliseconds ready_timeout{20'000};
 constexpr milliseconds settle_time{4000}; ///< from the start of the clients to the first fault
 constexpr milliseconds poll_interval{10};
@@ -35,6 +35,12 @@
 constexpr char const* link = "link"; ///< cause of a disturbance
 constexpr std::array services{"blue", "green"};
 constexpr std::array plain_routes{"/plain/", "/once/"};
+constexpr char const* listed_service = "gray"; ///< has no route and no processes
+constexpr std::size_t listed_replaced = 8;     ///< at a time
+constexpr int closed_port = 1;
+constexpr std::size_t store_threads = 104; ///< besides those for the calls of hosts
+constexpr std::size_t calls_per_host = 4;  ///< that a host may keep open at the store
+constexpr std::size_t target_threads = 42; ///< besides one for each host
 constexpr std::array homed_routes{"/homed/", "/homed-once/"};
 
 std::string at(std::string const& ip, int port)
@@ -46,7 +52,9 @@
 class soak_run {
 public:
     explicit soak_run(process_soak_options const& options)
-        : options_(options), recorder_(options.journal), first_port_(free_port_block(port_block)),
+        : options_(options), shape_(options.shape), recorder_(options.journal),
+          first_port_(free_port_block(port_block)),
+          store_(store_threads + host_count() * calls_per_host),
           fleet_(options.program, options.folder, regions(), ports(), options.bounds, recorder_),
           clients_(recorder_, client_host)
     {
@@ -61,10 +69,10 @@
         out.started = true;
         for (std::size_t i = 0; i < fleet_.size(); ++i) {
             clients_.start(fleet_.host(i).name, fleet_.host(i).ip, fleet_.ports().client,
-                           clients_per_host);
+                           static_cast<int>(shape_.clients_per_host));
         }
         mono_time const start = read_clocks().mono + settle_time;
-        for (soak_step const& step : make_step_schedule(options_.seed, options_.duration, shape_)) {
+        for (soak_step const& step : schedule()) {
             due_.emplace(start + step.at, [this, step] { play(step); });
         }
         play_until(start + options_.duration);
@@ -78,16 +86,40 @@
                           [](client_request const& each) { return each.status == 200; }));
         out.runs = record.runs.size();
         out.violations = audit_run(record, options_.bounds);
+        out.force_times = find_force_times(record);
         return out;
     }
 
 private:
+    [[nodiscard]] std::vector<force_time> find_force_times(run_record const& record) const
+    {
+        instant const now = read_clocks();
+        mono_time const log_epoch = now.mono - now.wall.time_since_epoch();
+        std::vector<config_activation> activations;
+        for (std::size_t i = 0; i < fleet_.size(); ++i) {
+            std::string const& host = fleet_.host(i).name;
+            auto const own = read_activations(fleet_.log_path(i), host, log_epoch);
+            activations.insert(activations.end(), own.begin(), own.end());
+        }
+        return last_activations(record, options_.bounds, activations, now.mono);
+    }
+
     struct target_slot {
         std::unique_ptr<target_standin> target;
         std::size_t link = 0;
         bool leaving = false;
     };
 
+    [[nodiscard]] std::vector<soak_step> schedule() const
+    {
+        return options_.schedule == schedule_kind::mixed
+                   ? make_step_schedule(options_.seed, options_.duration, shape_)
+                   : make_blind_schedule(options_.seed, options_.duration, shape_,
+                                         options_.schedule);
+    }
+
+    [[nodiscard]] std::size_t host_count() const { return shape_.zones * shape_.hosts_per_zone; }
+
     std::map<std::string, std::string> regions() const
     {
         std::map<std::string, std::string> out;
@@ -103,6 +135,13 @@
         return "region-" + std::to_string(zone + 1);
     }
 
+    /** @return a name; names of a zone are ordered as the numbers @p host. */
+    static std::string host_name(std::size_t zone, std::size_t host)
+    {
+        std::string const number = std::to_string(host);
+        return "host-" + std::to_string(zone + 1) + (number.size() < 2 ? "-0" : "-") + number;
+    }
+
     [[nodiscard]] fleet_ports ports() const
     {
         return {first_port_,     first_port_ + 1, first_port_ + 2,
@@ -124,7 +163,13 @@
             recorder_.log("no free ports");
             return false;
         }
+        if (options_.schedule != schedule_kind::mixed) {
+            ++added_routes_; // the first route that is dropped
+        }
         write_config();
+        for (std::size_t i = 0; i < shape_.listed_targets; ++i) {
+            list_target();
+        }
         slots_.resize(shape_.targets);
         for (std::size_t i = 0; i < slots_.size(); ++i) {
             if (!start_target(i)) {
@@ -136,8 +181,7 @@
                 std::string const ip =
                     "127.88." + std::to_string(zone + 1) + "." + std::to_string(i);
                 links_.add(at(ip, store_port()), at("127.0.0.1", store_port()));
-                fleet_.add({"host-" + std::to_string(zone + 1) + "-" + std::to_string(i),
-                            zone_name(zone), ip, at(ip, store_port())});
+                fleet_.add({host_name(zone, i), zone_name(zone), ip, at(ip, store_port())});
                 store_links_.push_back(link_count_++);
             }
         }
@@ -154,6 +198,9 @@
         for (char const* route : homed_routes) {
             clients_.add_route(route, route == homed_routes.back());
         }
+        if (added_routes_ != 0) {
+            clients_.add_route(added_route(added_routes_), false);
+        }
         return wait_ready();
     }
 
@@ -187,7 +234,7 @@
         slots_[slot].target = std::make_unique<target_standin>(
             target_identity{"i-" + std::to_string(targets_started_), service, zone_name(zone),
                             region_name(zone), at(ip, port)},
-            store_, recorder_);
+            store_, recorder_, target_threads + host_count());
         slots_[slot].leaving = false;
         if (!slots_[slot].target->start("127.0.0.1", port)) {
             recorder_.log("a target cannot listen on " + at("127.0.0.1", port));
@@ -242,6 +289,19 @@
             write_config();
             clients_.add_route(added_route(added_routes_), false);
             break;
+        case step_kind::drop_route:
+            if (dropped_routes_ < added_routes_) {
+                ++dropped_routes_;
+                write_config();
+            }
+            break;
+        case step_kind::replace_listed_targets:
+            for (std::size_t i = 0; i < listed_replaced && !listed_.empty(); ++i) {
+                store_.remove(wire::target_kind, listed_.front());
+                listed_.pop_front();
+                list_target();
+            }
+            break;
         case step_kind::evacuate_zone:
             recorder_.add(zone_evacuation{
                 zone_name(step.index),
@@ -349,6 +409,29 @@
 
     static std::string added_route(int number) { return "/added-" + std::to_string(number) + "/"; }
 
+    /** Adds the entry of a target to the store's list; nothing listens at its address. */
+    void list_target()
+    {
+        std::size_t const zone = listed_count_ % shape_.zones;
+        target_entry entry;
+        std::string const name = "l-" + std::to_string(++listed_count_);
+        entry.id = target_id(name);
+        entry.service = service_id(listed_service);
+        entry.address = at("127.88." + std::to_string(zone + 1) + ".201", closed_port);
+        entry.zone = zone_id(zone_name(zone));
+        entry.slots = 1;
+        entry.phase = target_phase::serving;
+        entry.incarnation = target_incarnation(static_cast<std::int64_t>(listed_count_));
+        store_.put(wire::target_kind, name, target_spec(entry));
+        listed_.push_back(name);
+    }
+
+    static void add_service(routing_config& config, char const* name)
+    {
+        config.services[service_id(name)] = {service_id(name), "/healthz", target_connections,
+                                             cold_period, cold_rate};
+    }
+
     /** Writes the next version of the configuration. */
     void write_config()
     {
@@ -380,12 +463,14 @@
         for (char const* route : homed_routes) {
             add(route, route == homed_routes.back(), region_name(home_));
         }
-        for (int i = 1; i <= added_routes_; ++i) {
+        for (int i = dropped_routes_ + 1; i <= added_routes_; ++i) {
             add(added_route(i), false, "");
         }
         for (char const* name : services) {
-            config.services[service_id(name)] = {service_id(name), "/healthz", target_connections,
-                                                 cold_period, cold_rate};
+            add_service(config, name);
+        }
+        if (shape_.listed_targets != 0) {
+            add_service(config, listed_service);
         }
         config.limits = {16'384, 1 << 20, milliseconds{3000}, milliseconds{15'000}};
         change.written = read_clocks().mono;
@@ -413,6 +498,9 @@
     std::size_t service_ = 0;
     std::size_t home_ = 0;
     int added_routes_ = 0;
+    int dropped_routes_ = 0;
+    std::deque<std::string> listed_; ///< names of entries, oldest first
+    std::size_t listed_count_ = 0;
     std::multimap<mono_time, std::function<void()>> due_;
 };
 
--- a/src/process_soak/process_soak.h
+++ b/src/process_soak/process_soak.h
@@ -1,7 +1,9 @@
 #pragma once
 /** @file Runs entry hosts as processes between stand-ins, under a seeded schedule of faults. */
 
+#include "process_soak/force_times.h"
 #include "process_soak/rule_audit.h"
+#include "process_soak/step_schedule.h"
 
 #include <cstdint>
 #include <cstdio>
@@ -14,6 +16,8 @@
     std::string program; ///< the entry host
     std::string folder;  ///< for settings and logs; exists
     rule_bounds bounds;
+    schedule_kind schedule = schedule_kind::mixed;
+    soak_shape shape;
     std::FILE* journal = stdout;
 };
 
@@ -24,6 +28,7 @@
     std::size_t answered = 0; ///< with status 200
     std::size_t runs = 0;
     std::vector<rule_violation> violations;
+    std::vector<force_time> force_times; ///< of each version
 };
 
 /** Blocks for the duration of the run and a few seconds. */
--- a/src/process_soak/step_schedule.cpp
+++ b/src/process_soak/step_schedule.cpp
@@ -185,10 +185,12 @@
 char const* to_string(step_kind kind)
 {
     static constexpr char const* names[] = {
-        "break_store_links", "mend_store_links", "break_target_link", "mend_target_link",
-        "freeze_hosts",      "resume_hosts",     "kill_hosts",        "terminate_hosts",
-        "start_hosts",       "change_service",   "change_home",       "add_route",
-        "evacuate_zone",     "lift_evacuation",  "retire_target"};
+        "break_store_links", "mend_store_links",      "break_target_link",
+        "mend_target_link",  "freeze_hosts",          "resume_hosts",
+        "kill_hosts",        "terminate_hosts",       "start_hosts",
+        "change_service",    "change_home",           "add_route",
+        "drop_route",        "evacuate_zone",         "lift_evacuation",
+        "retire_target",     "replace_listed_targets"};
     return names[static_cast<std::size_t>(kind)];
 }
 
--- a/src/process_soak/step_schedule.h
+++ b/src/process_soak/step_schedule.h
@@ -4,6 +4,7 @@
 #include "core/time_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,9 +37,11 @@
     change_service,
     change_home,
     add_route,
+    drop_route, ///< the oldest of those that were added
     evacuate_zone,
     lift_evacuation,
     retire_target,
+    replace_listed_targets, ///< some of those without a process
 };
 
 /** @return the name of @p kind, for journals. */
@@ -58,10 +61,30 @@
     std::size_t zones = 2;
     std::size_t hosts_per_zone = 3;
     std::size_t targets = 12;
+    std::size_t listed_targets = 0; ///< entries of a service without a route, without a process
+    std::size_t clients_per_host = 3;
 };
 
+/** Which faults and changes a run plays. */
+enum class schedule_kind {
+    mixed,           ///< links, signals and changes of all kinds
+    blind_followers, ///< the store is silent for the hosts of a zone that follow it
+    blind_share,     ///< the store is silent for a share of all hosts
+    blind_zone,      ///< the store is silent for all hosts of a zone
+};
+
+/** @return the kind called @p name ("mixed", "blind-followers" and so on), or nothing. */
+std::optional<schedule_kind> schedule_kind_of(std::string const& name);
+
 /** @return the steps of the run with @p seed, ordered by time. */
 std::vector<soak_step> make_step_schedule(std::uint64_t seed, milliseconds duration,
                                           soak_shape const& shape);
 
+/**
+ * @param kind one of the kinds in which the store is silent for some hosts.
+ * @return steps with series of changes while these hosts are blind, ordered by time.
+ */
+std::vector<soak_step> make_blind_schedule(std::uint64_t seed, milliseconds duration,
+                                           soak_shape const& shape, schedule_kind kind);
+
 } // namespace cove
--- a/src/process_soak/store_standin.cpp
+++ b/src/process_soak/store_standin.cpp
@@ -8,7 +8,6 @@
 
 using json = nlohmann::json;
 
-constexpr std::size_t listener_threads = 128; ///< a watch that waits takes one
 constexpr std::size_t page_items = 500;
 constexpr char const* era = "1";
 constexpr int ok_status = 200;
@@ -28,7 +27,7 @@
 
 } // namespace
 
-store_standin::store_standin() : listener_(listener_threads)
+store_standin::store_standin(std::size_t threads) : listener_(threads)
 {
     std::string const kind = std::string(wire::objects_path) + "([^/]+)";
     std::string const name = kind + "/([^/]+)";
--- a/src/process_soak/store_standin.h
+++ b/src/process_soak/store_standin.h
@@ -14,7 +14,8 @@
 
 class store_standin {
 public:
-    store_standin();
+    /** @param threads that answer; a watch that waits takes one. */
+    explicit store_standin(std::size_t threads = 128);
     ~store_standin();
     store_standin(store_standin const&) = delete;
     store_standin& operator=(store_standin const&) = delete;
--- a/src/process_soak/target_standin.cpp
+++ b/src/process_soak/target_standin.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t listener_threads = 48; ///< one for each connection
 constexpr int slots = 8;
 constexpr milliseconds work_time{4};
 constexpr std::uint64_t slow_one_in = 40;
@@ -27,11 +26,11 @@
 } // namespace
 
 target_standin::target_standin(target_identity identity, store_standin& store,
-                               run_recorder& recorder)
+                               run_recorder& recorder, std::size_t threads)
     : identity_(std::move(identity)), store_(store), recorder_(recorder),
       born_ms_(
           std::chrono::duration_cast<milliseconds>(read_clocks().wall.time_since_epoch()).count()),
-      listener_(listener_threads)
+      listener_(threads)
 {
     auto const handler = [this](auto const& request, auto& response) { serve(request, response); };
     listener_.server.Get(".*", handler);
--- a/src/process_soak/target_standin.h
+++ b/src/process_soak/target_standin.h
@@ -22,8 +22,12 @@
 /** Runs requests in its slots, refuses what does not fit, and fails some after they ran. */
 class target_standin {
 public:
-    /** @param store and @p recorder must outlive this object. */
-    target_standin(target_identity identity, store_standin& store, run_recorder& recorder);
+    /**
+     * @param store and @p recorder must outlive this object.
+     * @param threads that answer; each connection takes one.
+     */
+    target_standin(target_identity identity, store_standin& store, run_recorder& recorder,
+                   std::size_t threads);
 
     /** Listens and reports to the store. @return whether it listens. */
     bool start(std::string const& ip, int port);
--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -1,6 +1,10 @@
+#include "process_soak/force_times.h"
 #include "process_soak/rule_audit.h"
 #include "process_soak/step_schedule.h"
 
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -90,6 +94,16 @@
     EXPECT_EQ(broken_rules(record), rules{"ROUTE"});
 }
 
+TEST(process_soak_audit, run_on_a_dropped_route_breaks_config)
+{
+    run_record record = record_with_change({"old", ""}, 11'999);
+    record.configs.back().routes.clear();
+    EXPECT_EQ(broken_rules(record), rules{});
+    record.requests = {request(12'001)};
+    record.runs = {run(12'006)};
+    EXPECT_EQ(broken_rules(record), rules{"CONFIG"});
+}
+
 TEST(process_soak_audit, added_route_that_is_not_found_breaks_config)
 {
     run_record record;
@@ -215,5 +229,93 @@
     }
 }
 
+std::vector<schedule_kind> const blind_kinds{schedule_kind::blind_followers,
+                                             schedule_kind::blind_share, schedule_kind::blind_zone};
+
+TEST(process_soak_schedule, changes_in_series_come_while_hosts_are_blind)
+{
+    soak_shape const shape{.zones = 3, .hosts_per_zone = 5};
+    for (schedule_kind const kind : blind_kinds) {
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            std::size_t changes = 0;
+            std::size_t episodes = 0;
+            bool blind = false;
+            for (soak_step const& step : make_blind_schedule(seed, seconds(60), shape, kind)) {
+                if (step.kind == step_kind::break_store_links) {
+                    EXPECT_FALSE(blind);
+                    blind = true;
+                    changes = 0;
+                    ++episodes;
+                }
+                else if (step.kind == step_kind::mend_store_links) {
+                    EXPECT_GE(changes, 3U) << seed;
+                    blind = false;
+                }
+                bool const is_change =
+                    step.kind == step_kind::change_service || step.kind == step_kind::change_home ||
+                    step.kind == step_kind::add_route || step.kind == step_kind::drop_route;
+                changes += is_change ? 1 : 0;
+                for (std::size_t const host : step.hosts) {
+                    ASSERT_LT(host, shape.zones * shape.hosts_per_zone);
+                }
+            }
+            EXPECT_FALSE(blind) << seed;
+            EXPECT_GE(episodes, 3U) << seed;
+        }
+    }
+}
+
+TEST(process_soak_schedule, blind_hosts_are_the_first_two_of_a_zone_a_share_or_a_zone)
+{
+    soak_shape const shape{.zones = 3, .hosts_per_zone = 5};
+    for (schedule_kind const kind : blind_kinds) {
+        for (soak_step const& step : make_blind_schedule(3, seconds(120), shape, kind)) {
+            if (step.kind != step_kind::break_store_links || kind == schedule_kind::blind_share) {
+                continue;
+            }
+            ASSERT_EQ(step.hosts.size(), kind == schedule_kind::blind_zone ? 5U : 2U);
+            EXPECT_EQ(step.hosts.front() % shape.hosts_per_zone, 0U);
+            EXPECT_EQ(step.hosts.back(), step.hosts.front() + step.hosts.size() - 1);
+        }
+    }
+    EXPECT_EQ(schedule_kind_of("blind-zone"), schedule_kind::blind_zone);
+    EXPECT_EQ(schedule_kind_of("blind"), std::nullopt);
+}
+
+TEST(process_soak_force_times, last_host_in_touch_counts)
+{
+    run_record record;
+    record.configs = {version(1, 10'000, {"old", ""}), version(2, 12'000, {"new", ""})};
+    std::vector<config_activation> const seen{
+        {"h1", 1, at(10'100)}, {"h1", 2, at(12'100)}, {"h2", 2, at(13'000)}, {"h3", 1, at(10'200)}};
+    auto times = last_activations(record, rule_bounds{}, seen, at(20'000));
+    ASSERT_EQ(times.size(), 2U);
+    EXPECT_EQ(times[0].host, "h2"); // by the newer version
+    EXPECT_EQ(times[0].late, milliseconds(3'000));
+    EXPECT_EQ(times[1].host, "h3"); // never
+    EXPECT_EQ(times[1].late, milliseconds(8'000));
+    record.disturbances = {{"h3", "stopped", at(15'000), std::nullopt, false}};
+    times = last_activations(record, rule_bounds{}, seen, at(20'000));
+    EXPECT_EQ(times[1].host, "h2");
+    EXPECT_EQ(times[1].late, milliseconds(1'000));
+}
+
+TEST(process_soak_force_times, lines_of_a_log_are_read)
+{
+    std::string const path = testing::TempDir() + "process_soak_force_times.log";
+    std::ofstream(path)
+        << "time=2026-12-08T02:43:26.210 program=cove-host name=h1 event=store_lost kind=config\n"
+        << "time=2026-12-08T02:43:27.695 program=cove-host name=h1 event=config_in_force "
+           "version=3 routes=5\n"
+        << "time=2026-12-08T02:43:28.700 program=cove-host name=h1 event=config_in_force "
+           "version=4 routes=5\n";
+    auto const seen = read_activations(path, "h1", mono_time{});
+    static_cast<void>(std::remove(path.c_str()));
+    ASSERT_EQ(seen.size(), 2U);
+    EXPECT_EQ(seen[0].version, 3);
+    EXPECT_EQ(seen[1].version, 4);
+    EXPECT_EQ(seen[1].at - seen[0].at, milliseconds(1'005));
+}
+
 } // namespace
 } // namespace cove
