Test that a relaying host names its configuration

relayed_version_test sent the field itself, so that it held without the host that relays. relaying_host.does_not_have_its_requests_decided_by_an_older_configuration plays both hosts: a request relayed by version 2 gets 503 from a host of version 1, and 200 once that has version 2.

--- a/tests/host/relayed_version_test.cpp
+++ b/tests/host/relayed_version_test.cpp
@@ -1,7 +1,7 @@
 /** @file The version that a relayed request names, as a host with an older configuration reads it.
  */
 
-#include "support/host_case.h"
+#include "support/relaying_host.h"
 
 namespace cove {
 namespace {
@@ -79,5 +79,29 @@
     EXPECT_TRUE(target.request_heads.empty());
 }
 
+// HOME and CONFIG: nothing told the other host that the relaying one had a newer configuration.
+TEST_F(relaying_host, does_not_have_its_requests_decided_by_an_older_configuration)
+{
+    answer = {served};
+    cut_off_first_host(true);
+    config_document newer = desk_config(2, "/a/", true);
+    newer.text = "unreadable"; // to the second host, to which it is pushed
+    stores[0].config(newer);
+    std::size_t const runs = target.request_heads.size();
+    auto const status = [this] {
+        http_request request(boost::beast::http::verb::put, "/a/1", 11);
+        request.set(boost::beast::http::field::host, "desk.example");
+        request.set("Attempt", "a1");
+        request.set("Deadline", "8000");
+        request.prepare_payload();
+        return exchange_once(loop, clients[0], std::move(request)).response.result_int();
+    };
+    EXPECT_EQ(status(), 503U);
+    EXPECT_EQ(target.request_heads.size(), runs);
+    stores[1].config(desk_config(2, "/a/", true));
+    EXPECT_EQ(status(), 200U);
+    EXPECT_EQ(target.request_heads.size(), runs + 1);
+}
+
 } // namespace
 } // namespace cove
--- a/tests/support/zone_case.h
+++ b/tests/support/zone_case.h
@@ -111,6 +111,9 @@
     /** The text of a configuration starts with its version. */
     static result<config_document> read_config(std::string const& text)
     {
+        if (text.empty() || text[0] < '0' || text[0] > '9') {
+            return fail("test.read_config", "test", "no version");
+        }
         config_document document{text, {}};
         document.config.version = generation(std::stoull(text));
         return document;
