--- a/src/host/request_forwarder.h
+++ b/src/host/request_forwarder.h
@@ -81,7 +81,7 @@
     void on_relayed_request(call_id call, http_request request);
     void on_relay_disconnected(call_id call);
 
-    /** @param describe names the active configuration and the newest one heard of, for the log. */
+    /** @param describe names the active configuration and the newest one announced, for the log. */
     void set_config_description(std::function<log_fields()> describe)
     {
         describe_config_ = std::move(describe);
--- a/src/peer/version_trace.h
+++ b/src/peer/version_trace.h
@@ -1,5 +1,5 @@
 #pragma once
-/** @file When this host first heard of the newest configuration, and from whom. */
+/** @file The newest configuration that peers have announced, and when. */
 
 #include "core/ids_type.h"
 #include "core/time_type.h"
@@ -21,12 +21,12 @@
         }
     }
 
-    /** @return the newest version heard of; 0 before the first one. */
+    /** @return the newest version announced; 0 before the first one. */
     [[nodiscard]] generation newest() const { return newest_; }
 
     [[nodiscard]] std::string const& source() const { return source_; }
 
-    /** @return time since the newest version was first heard of. */
+    /** @return time since the newest version was first announced. */
     [[nodiscard]] milliseconds age(mono_time now) const
     {
         return std::chrono::duration_cast<milliseconds>(now - first_heard_);
